--- /dev/null
+++ b/core/endpoint.h
@@ -0,0 +1,23 @@
+// Addresses of processes: an IP number and a port.
+#pragma once
+
+#include "core/error.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace parsleyloft {
+
+struct endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint &) const = default;
+};
+
+// Reads "ip:port". Fails with InvalidInput.
+auto parseEndpoint(std::string_view text) -> result<endpoint>;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/core/error.h
@@ -0,0 +1,46 @@
+// Errors as values: a code for programs and a detail for people.
+#pragma once
+
+#include "core/names.h"
+
+#include <string>
+#include <tl/expected.hpp>
+
+namespace parsleyloft {
+
+enum class error_code {
+    InvalidInput,
+    NotFound,
+    Conflict,
+    Unreachable,
+    TimedOut,
+    // The operation may or may not have taken effect.
+    Unknown,
+    NotLeader,
+};
+
+inline constexpr name_table<error_code, 7> errorCodeNames{{
+    {error_code::InvalidInput, "invalid_input"},
+    {error_code::NotFound, "not_found"},
+    {error_code::Conflict, "conflict"},
+    {error_code::Unreachable, "unreachable"},
+    {error_code::TimedOut, "timed_out"},
+    {error_code::Unknown, "unknown"},
+    {error_code::NotLeader, "not_leader"},
+}};
+
+struct error
+{
+    error_code code;
+    std::string detail;
+};
+
+template<typename value>
+using result = tl::expected<value, error>;
+
+inline auto failure(error_code code, std::string detail) -> tl::unexpected<error>
+{
+    return tl::unexpected<error>(error{code, std::move(detail)});
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/decisions/group_queue.cpp
@@ -0,0 +1,255 @@
+// The queue of one group of backend servers at the host that may send to them.
+#include "decisions/group_queue.h"
+
+#include <algorithm>
+
+namespace parsleyloft {
+
+namespace {
+
+// Waiting requests of one lane, whatever their deadlines.
+constexpr std::size_t maxLaneLength = 2000;
+
+// A class's counts are halved when it has been offered this many requests.
+constexpr double shareWindow = 1000;
+
+auto refusalsLeft(const class_share &share) -> double
+{
+    const auto allowed = share.offered * share.maxRefusedPermille / 1000.0;
+    return allowed - share.refused;
+}
+
+auto countOffer(class_share &share, std::uint32_t maxRefusedPermille) -> void
+{
+    share.maxRefusedPermille = maxRefusedPermille;
+    ++share.offered;
+    if (share.offered < shareWindow)
+        return;
+    share.offered /= 2;
+    share.refused /= 2;
+}
+
+auto enqueue(group_queue &queue, const queued_request &request) -> void
+{
+    queue.waiting[request.number] = request;
+    queue.lanes[request.owner].insert({request.deadline, request.number});
+}
+
+auto remove(group_queue &queue, ticket number) -> queued_request
+{
+    const auto found = queue.waiting.find(number);
+    auto request = std::move(found->second);
+    queue.waiting.erase(found);
+    queue.lanes[request.owner].erase({request.deadline, number});
+    return request;
+}
+
+// The last of those waiting in the lane whose class has more refusals left.
+auto chooseVictim(const group_queue &queue, const queued_request &arrival) -> std::optional<ticket>
+{
+    const auto lane = queue.lanes.find(arrival.owner);
+    if (lane == queue.lanes.end())
+        return std::nullopt;
+    auto most = refusalsLeft(queue.shares.at(arrival.className));
+    std::optional<ticket> victim;
+    for (auto order = lane->second.rbegin(); order != lane->second.rend(); ++order) {
+        const auto &waiting = queue.waiting.at(order->number);
+        const auto left = refusalsLeft(queue.shares.at(waiting.className));
+        if (waiting.className != arrival.className && left >= 1 && left > most) {
+            most = left;
+            victim = order->number;
+        }
+    }
+    return victim;
+}
+
+auto roomyServer(group_queue &queue, const server_id &avoid, instant now) -> server_load *
+{
+    server_load *best = nullptr;
+    const auto cost = [](const server_load &server) {
+        const auto latency = std::max<std::int64_t>(server.latency.count(), 1);
+        return static_cast<double>(latency) * (server.running + 1) / server.limit;
+    };
+    for (auto &[id, server] : queue.servers) {
+        if (id == avoid || !hasRoom(server, now))
+            continue;
+        if (server.phase == server_phase::Straggling)
+            return &server;
+        if (best == nullptr || cost(server) < cost(*best))
+            best = &server;
+    }
+    return best;
+}
+
+template<typename predicate>
+auto takeMatching(group_queue &queue, predicate &&matches) -> std::vector<ticket>
+{
+    std::vector<ticket> taken;
+    for (const auto &[number, request] : queue.waiting) {
+        if (matches(request))
+            taken.push_back(number);
+    }
+    for (const auto number : taken)
+        remove(queue, number);
+    return taken;
+}
+
+auto serverFor(group_queue &queue, const queued_request &request, instant now) -> server_load *
+{
+    if (request.owner.empty())
+        return roomyServer(queue, request.avoid, now);
+    const auto owner = queue.servers.find(request.owner);
+    if (owner == queue.servers.end() || owner->second.phase == server_phase::Unreachable)
+        return nullptr;
+    // The owner alone can serve its keys, so a slow one gets them all the same.
+    const auto room = owner->second.running < owner->second.limit;
+    return room ? &owner->second : nullptr;
+}
+
+} // namespace
+
+auto setServers(group_queue &queue, const std::vector<server_load> &listed) -> void
+{
+    std::map<server_id, server_load> next;
+    for (const auto &one : listed) {
+        const auto known = queue.servers.find(one.id);
+        next[one.id] = known == queue.servers.end() ? one : known->second;
+        next[one.id].slots = one.slots;
+    }
+    queue.servers = std::move(next);
+}
+
+auto offer(group_queue &queue, const queued_request &request, std::uint32_t maxRefusedPermille,
+           instant now) -> offer_result
+{
+    auto &share = queue.shares[request.className];
+    countOffer(share, maxRefusedPermille);
+    const auto refuse = [&](reason why) {
+        ++share.refused;
+        return offer_result{false, why, std::nullopt};
+    };
+    if (queue.lanes[request.owner].size() >= maxLaneLength)
+        return refuse(reason::QueueFull);
+    if (now + expectedWait(queue, request.owner) <= request.deadline) {
+        enqueue(queue, request);
+        return {true, reason::None, std::nullopt};
+    }
+    const auto victim = chooseVictim(queue, request);
+    if (!victim)
+        return refuse(reason::WaitTooLong);
+    const auto removed = remove(queue, *victim);
+    ++queue.shares[removed.className].refused;
+    enqueue(queue, request);
+    return {true, reason::None, victim};
+}
+
+auto takeStarts(group_queue &queue, instant now) -> std::vector<start>
+{
+    std::vector<start> starts;
+    for (auto &[owner, lane] : queue.lanes) {
+        while (!lane.empty()) {
+            const auto &request = queue.waiting.at(lane.begin()->number);
+            auto *server = serverFor(queue, request, now);
+            if (server == nullptr)
+                break;
+            noteStart(*server, now);
+            starts.push_back({remove(queue, request.number), server->id});
+        }
+    }
+    return starts;
+}
+
+auto takeExpired(group_queue &queue, instant now) -> std::vector<ticket>
+{
+    std::vector<ticket> expired;
+    for (auto &[owner, lane] : queue.lanes) {
+        while (!lane.empty() && lane.begin()->deadline <= now) {
+            const auto number = lane.begin()->number;
+            ++queue.shares[remove(queue, number).className].refused;
+            expired.push_back(number);
+        }
+    }
+    return expired;
+}
+
+auto withdraw(group_queue &queue, ticket number) -> bool
+{
+    if (!queue.waiting.contains(number))
+        return false;
+    remove(queue, number);
+    return true;
+}
+
+auto takeHedge(group_queue &queue, const server_id &first, instant now) -> std::optional<server_id>
+{
+    auto *server = roomyServer(queue, first, now);
+    if (server == nullptr)
+        return std::nullopt;
+    noteStart(*server, now);
+    return server->id;
+}
+
+auto takeShard(group_queue &queue, shard_index shard) -> std::vector<ticket>
+{
+    return takeMatching(queue, [&](const queued_request &request) {
+        return !request.owner.empty() && request.shard == shard;
+    });
+}
+
+auto takeOwner(group_queue &queue, const server_id &owner) -> std::vector<ticket>
+{
+    return takeMatching(queue,
+                        [&](const queued_request &request) { return request.owner == owner; });
+}
+
+auto takeAll(group_queue &queue) -> std::vector<ticket>
+{
+    return takeMatching(queue, [](const queued_request &) { return true; });
+}
+
+auto finish(group_queue &queue, const server_id &server, attempt_result result, duration latency)
+    -> void
+{
+    const auto found = queue.servers.find(server);
+    if (found != queue.servers.end())
+        noteEnd(found->second, result, latency, medianLatency(queue));
+}
+
+auto medianLatency(const group_queue &queue) -> duration
+{
+    std::vector<duration> known;
+    for (const auto &[id, server] : queue.servers) {
+        if (server.samples > 0)
+            known.push_back(server.latency);
+    }
+    if (known.size() < 2)
+        return 0us;
+    const auto middle = known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    return *middle;
+}
+
+auto expectedWait(const group_queue &queue, const server_id &owner) -> duration
+{
+    std::int64_t ahead = 0;
+    std::int64_t room = 0;
+    duration latency = 0us;
+    for (const auto &[id, server] : queue.servers) {
+        if (!owner.empty() && id != owner)
+            continue;
+        if (server.phase == server_phase::Unreachable)
+            continue;
+        ahead += server.running;
+        room += server.limit;
+        latency = std::max(latency, server.latency);
+    }
+    const auto lane = queue.lanes.find(owner);
+    ahead += lane == queue.lanes.end() ? 0 : static_cast<std::int64_t>(lane->second.size());
+    if (owner.empty() && medianLatency(queue) > 0us)
+        latency = medianLatency(queue);
+    if (room == 0 || ahead < room)
+        return latency;
+    return latency + latency * (ahead - room + 1) / room;
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/decisions/holdings.h
@@ -0,0 +1,78 @@
+// What one host holds: its lease, the groups it may send to, and what it released.
+//
+// An epoch that was released, or whose lease lapsed, is never resumed: the leader has
+// to give a higher one. So a table that is out of date can't bring back a holding that
+// another host or server has had since.
+#pragma once
+
+#include "core/limits.h"
+#include "decisions/assignment.h"
+
+#include <set>
+
+namespace parsleyloft {
+
+struct holdings_state
+{
+    lease_limits limits;
+    host_id self;
+    // Invariant: replaced only by a newer table.
+    assignment_table table;
+    // Invariant: every grant that this host gave to a server ends by then.
+    instant leaseEnds{};
+    bool lapseNoted = true;
+    std::map<group_id, epoch> releasedGroups;
+    std::map<shard_id, epoch> releasedShards;
+};
+
+struct group_release
+{
+    group_id group;
+    epoch given;
+};
+
+struct shard_release
+{
+    shard_id shard;
+    epoch given;
+};
+
+auto newHoldings(lease_limits limits, host_id self) -> holdings_state;
+
+// Takes a leader's table when it is newer. Returns true when it was taken. What the first
+// table says that this host holds was given to its former process, and is released.
+auto takeTable(holdings_state &state, const assignment_table &table) -> bool;
+
+// Extends the lease from a leader's answer. sentAt is when this host asked, and
+// confirmationAge the age of the leader's licence when it answered.
+auto renewLease(holdings_state &state, instant sentAt, duration confirmationAge, instant now)
+    -> void;
+
+// Releases every holding whose lease has ended. Called before each use.
+auto noteLapse(holdings_state &state, instant now) -> void;
+
+// True when this host may send to the servers of the group.
+auto mayUseGroup(const holdings_state &state, const group_id &group, instant now) -> bool;
+
+// True when this host may send work for the shard to its owner.
+auto mayUseShard(const holdings_state &state, const shard_id &shard, instant now) -> bool;
+
+// True while the holding's work is still ending: no new work, grants go on.
+auto isReleasingGroup(const holdings_state &state, const group_id &group, instant now) -> bool;
+auto isReleasingShard(const holdings_state &state, const shard_id &shard, instant now) -> bool;
+
+auto releaseGroup(holdings_state &state, const group_id &group) -> void;
+auto releaseShard(holdings_state &state, const shard_id &shard) -> void;
+
+// Releases every shard that a server owns, when its grants are known to have ended.
+auto releaseServer(holdings_state &state, const server_id &server) -> void;
+
+// Releases that the leader has not yet answered with a higher epoch.
+auto openGroupReleases(const holdings_state &state) -> std::vector<group_release>;
+auto openShardReleases(const holdings_state &state) -> std::vector<shard_release>;
+
+// The shards to name in a grant to a server: those held and those still ending.
+auto shardsToGrant(const holdings_state &state, const server_id &server, instant now)
+    -> std::vector<shard_release>;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/decisions/server_limit.cpp
@@ -0,0 +1,114 @@
+// How much work one backend server gets at a time: cold starts, stragglers, shedding.
+#include "decisions/server_limit.h"
+
+#include <algorithm>
+
+namespace parsleyloft {
+
+namespace {
+
+// Answers that a cold server gives before its limit rises by one slot.
+constexpr std::uint32_t answersPerSlot = 10;
+
+// A server this many times slower than its peers is a straggler, until it is back
+// within the second ratio.
+constexpr int straggleRatio = 3;
+constexpr int recoverRatio = 2;
+
+// Latencies below this are never a sign of trouble.
+constexpr duration latencyFloor = 2ms;
+
+constexpr std::uint32_t samplesToJudge = 5;
+constexpr duration probePeriod = 100ms;
+
+// Weight of a new sample in the smoothed latency, as one part of this many.
+constexpr int smoothing = 4;
+
+auto judgeLatency(server_load &server, duration sample, duration peerLatency) -> void
+{
+    const auto usual = std::max(peerLatency, latencyFloor);
+    if (server.phase == server_phase::Normal) {
+        const auto slow = server.latency > usual * straggleRatio;
+        if (slow && peerLatency > 0us && server.samples >= samplesToJudge)
+            server.phase = server_phase::Straggling;
+        return;
+    }
+    if (server.phase == server_phase::Straggling && sample <= usual * recoverRatio) {
+        server.phase = server_phase::Normal;
+        server.latency = sample;
+    }
+}
+
+auto earnLimit(server_load &server) -> void
+{
+    if (server.phase != server_phase::Cold)
+        return;
+    if (++server.answeredAtLimit < answersPerSlot)
+        return;
+    server.answeredAtLimit = 0;
+    if (server.limit < server.slots)
+        ++server.limit;
+    if (server.limit >= server.slots)
+        server.phase = server_phase::Normal;
+}
+
+} // namespace
+
+auto hasRoom(const server_load &server, instant now) -> bool
+{
+    switch (server.phase) {
+    case server_phase::Unreachable:
+        return false;
+    case server_phase::Straggling:
+        return server.running == 0 && now >= server.lastProbe + probePeriod;
+    case server_phase::Cold:
+    case server_phase::Normal:
+        return server.running < server.limit;
+    }
+    return false;
+}
+
+auto noteStart(server_load &server, instant now) -> void
+{
+    ++server.running;
+    server.lastProbe = now;
+}
+
+auto noteEnd(server_load &server, attempt_result result, duration latency, duration peerLatency)
+    -> void
+{
+    server.running -= std::min<std::uint32_t>(server.running, 1);
+    if (result == attempt_result::Refused) {
+        turnCold(server);
+        return;
+    }
+    if (result == attempt_result::Failed)
+        return;
+    server.latency =
+        server.samples == 0 ? latency : server.latency + (latency - server.latency) / smoothing;
+    ++server.samples;
+    earnLimit(server);
+    judgeLatency(server, latency, peerLatency);
+}
+
+auto turnCold(server_load &server) -> void
+{
+    if (server.phase != server_phase::Unreachable)
+        server.phase = server_phase::Cold;
+    server.limit = 1;
+    server.answeredAtLimit = 0;
+}
+
+auto markUnreachable(server_load &server, bool unreachable) -> void
+{
+    if (unreachable) {
+        server.phase = server_phase::Unreachable;
+        return;
+    }
+    if (server.phase == server_phase::Unreachable) {
+        server.phase = server_phase::Cold;
+        turnCold(server);
+    }
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/decisions/server_limit.h
@@ -0,0 +1,67 @@
+// How much work one backend server gets at a time: cold starts, stragglers, shedding.
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/names.h"
+#include "core/time.h"
+
+#include <optional>
+
+namespace parsleyloft {
+
+enum class server_phase {
+    // Just started: gets one request at a time and earns more by answers.
+    Cold,
+    Normal,
+    // Much slower than its peers: gets single requests to see whether it has recovered.
+    Straggling,
+    Unreachable,
+};
+
+inline constexpr name_table<server_phase, 4> serverPhaseNames{{
+    {server_phase::Cold, "cold"},
+    {server_phase::Normal, "normal"},
+    {server_phase::Straggling, "straggling"},
+    {server_phase::Unreachable, "unreachable"},
+}};
+
+enum class attempt_result { Answered, Refused, Failed };
+
+inline constexpr name_table<attempt_result, 3> attemptResultNames{{
+    {attempt_result::Answered, "answered"},
+    {attempt_result::Refused, "refused"},
+    {attempt_result::Failed, "failed"},
+}};
+
+struct server_load
+{
+    server_id id;
+    std::uint32_t slots = 1;
+    server_phase phase = server_phase::Cold;
+    // Invariant: running <= limit at each start, and limit <= slots.
+    std::uint32_t limit = 1;
+    std::uint32_t running = 0;
+    // Answers since the limit last rose.
+    std::uint32_t answeredAtLimit = 0;
+    // Smoothed latency, zero until the first answer.
+    duration latency = 0us;
+    std::uint32_t samples = 0;
+    instant lastProbe{};
+};
+
+// True when another request may be started at the server now.
+auto hasRoom(const server_load &server, instant now) -> bool;
+
+auto noteStart(server_load &server, instant now) -> void;
+
+// Takes in the end of a request. peerLatency is the median of the server's peers, zero
+// when unknown.
+auto noteEnd(server_load &server, attempt_result result, duration latency, duration peerLatency)
+    -> void;
+
+// Starts over with the least load: the server restarted, or turned cold without warning.
+auto turnCold(server_load &server) -> void;
+
+auto markUnreachable(server_load &server, bool unreachable) -> void;
+
+} // namespace parsleyloft
