--- /dev/null
+++ b/telemetry/event_log.h
@@ -0,0 +1,36 @@
+// Structured logs: one line of key=value pairs for each event, by log4cxx.
+#pragma once
+
+#include "core/error.h"
+#include "core/names.h"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace parsleyloft {
+
+enum class log_level { Trace, Debug, Info, Warn, Error };
+
+inline constexpr name_table<log_level, 5> logLevelNames{{
+    {log_level::Trace, "trace"},
+    {log_level::Debug, "debug"},
+    {log_level::Info, "info"},
+    {log_level::Warn, "warn"},
+    {log_level::Error, "error"},
+}};
+
+struct log_field
+{
+    std::string_view key;
+    std::string value;
+};
+
+// Writes to standard error from now on, events of the level and above.
+auto startLog(log_level least, const std::string &host) -> void;
+
+// Writes one event. Values with spaces or quotes are quoted.
+auto logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+    -> void;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/transport/http_server.h
@@ -0,0 +1,40 @@
+// An HTTP/1.1 listener over a worker pool, by Boost.Beast.
+#pragma once
+
+#include "transport/http_message.h"
+#include "transport/worker_pool.h"
+
+namespace parsleyloft {
+
+// Called once for each request, from any worker.
+using http_respond = std::function<void(http_response)>;
+using http_handler = std::function<void(http_request, http_respond)>;
+
+struct http_server
+{
+    struct internals;
+    std::shared_ptr<internals> inside;
+};
+
+struct http_server_options
+{
+    std::size_t maxBodyBytes = 64 * 1024;
+    // Test stand-ins only: what a new connection costs before its first request.
+    duration connectionCost = 0us;
+};
+
+// Listens and serves. Fails with InvalidInput or Unreachable (the port is taken).
+auto startHttpServer(worker_pool &pool, const endpoint &at, const http_server_options &options,
+                     http_handler handler) -> result<http_server>;
+
+// Asks callers to leave: each response closes its connection, idle connections end soon.
+auto beginHttpDrain(worker_pool &pool, http_server &server) -> void;
+
+// Stops listening. Connections go on.
+auto stopListening(http_server &server) -> void;
+
+// Open connections, and requests without a complete response.
+auto openConnections(const http_server &server) -> std::size_t;
+auto openRequests(const http_server &server) -> std::size_t;
+
+} // namespace parsleyloft
