--- /dev/null
+++ b/command/call_command.cpp
@@ -0,0 +1,92 @@
+// The subcommand that sends one request as a caller would.
+#include "command/call_command.h"
+
+#include "core/outcome.h"
+#include "transport/blocking_call.h"
+
+#include <iostream>
+#include <random>
+
+namespace parsleyloft {
+
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr duration callTimeout = 11min;
+
+struct call_options
+{
+    std::string at;
+    std::string className;
+    std::string key;
+    std::string id;
+    std::string body;
+    bool repeated = false;
+};
+
+auto drawRequestId() -> std::string
+{
+    std::random_device source;
+    return std::to_string(source()) + "-" + std::to_string(source());
+}
+
+auto toRequest(const call_options &call) -> http_request
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/call/" + call.className;
+    request.headers["Request-Id"] = call.id.empty() ? drawRequestId() : call.id;
+    if (!call.key.empty())
+        request.headers["Key"] = call.key;
+    if (call.repeated)
+        request.headers["Repeated"] = "yes";
+    request.body = call.body;
+    return request;
+}
+
+auto printAnswer(const http_response &response) -> exit_code
+{
+    const auto told = headerOf(response.headers, "Parsleyloft-Outcome");
+    const auto why = headerOf(response.headers, "Parsleyloft-Reason");
+    if (told == nameIn(outcomeNames, outcome::Answered)) {
+        std::cout << response.body << "\n";
+        return exit_code::Success;
+    }
+    std::cerr << "status=" << response.status << " outcome=" << told << " reason=" << why << "\n";
+    return told == nameIn(outcomeNames, outcome::Unknown) ? exit_code::Unknown : exit_code::Failed;
+}
+
+} // namespace
+
+auto runCall(const arguments &rest) -> exit_code
+{
+    call_options call;
+    options::options_description known("options");
+    known.add_options()("help", "show this text");
+    known.add_options()("at", options::value(&call.at)->required(), "ip:port of any entry host");
+    known.add_options()("class", options::value(&call.className)->required(), "class of work");
+    known.add_options()("key", options::value(&call.key), "key, for a service with keys");
+    known.add_options()("id", options::value(&call.id), "request id; drawn when left out");
+    known.add_options()("body", options::value(&call.body), "body of the request");
+    known.add_options()("repeated", options::bool_switch(&call.repeated),
+                        "the same request id was sent before");
+    options::variables_map values;
+    const auto ended = parseOptions(rest, known, {}, values);
+    if (ended)
+        return *ended;
+    const auto to = parseEndpoint(call.at);
+    if (!to) {
+        std::cerr << to.error().detail << "\n";
+        return exit_code::Usage;
+    }
+    const auto workers = startWorkers(1);
+    auto client = makeHttpClient(*workers, 0);
+    const auto outcome = callAndWait(client, *to, toRequest(call), callTimeout);
+    if (outcome.failure == http_failure::None)
+        return printAnswer(outcome.response);
+    std::cerr << call.at << ": " << nameIn(httpFailureNames, outcome.failure) << "\n";
+    return outcome.failure == http_failure::NotSent ? exit_code::Unreachable : exit_code::Unknown;
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/command/call_command.h
@@ -0,0 +1,10 @@
+// The subcommand that sends one request as a caller would.
+#pragma once
+
+#include "command/subcommand.h"
+
+namespace parsleyloft {
+
+auto runCall(const arguments &rest) -> exit_code;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/command/main.cpp
@@ -0,0 +1,20 @@
+// The shipped program: the entry host's daemon and the operators' and callers' commands.
+#include "command/call_command.h"
+#include "command/operator_command.h"
+#include "command/serve_command.h"
+
+auto main(int count, char **values) -> int
+{
+    using namespace parsleyloft;
+    const std::vector<subcommand> known{
+        {"serve", "run an entry host's daemon", runServe},
+        {"check", "check a settings file and print what is in force", runCheck},
+        {"class", "set, remove or list classes of work", runClass},
+        {"domain", "take failure domains out of service and in", runDomain},
+        {"host", "take hosts and backend servers out of service and in", runHost},
+        {"status", "who owns what, and which class misses its target", runStatus},
+        {"dump", "the whole state of one process", runDump},
+        {"call", "send one request as a caller", runCall},
+    };
+    return static_cast<int>(runSubcommand("parsleyloft", known, count, values));
+}
--- /dev/null
+++ b/command/operator_client.cpp
@@ -0,0 +1,71 @@
+// Calls on an entry host's operator interface, and their results as exit codes.
+#include "command/operator_client.h"
+
+#include "codec/json.h"
+#include "generated/operator.pb.h"
+#include "transport/blocking_call.h"
+
+#include <iostream>
+
+namespace parsleyloft {
+
+namespace {
+
+constexpr duration callTimeout = 5s;
+
+auto toError(const http_response &response) -> error
+{
+    wire::ErrorAnswer answer;
+    if (!readForeignJson(response.body, answer))
+        return {error_code::InvalidInput, "status " + std::to_string(response.status)};
+    const auto code = valueIn(errorCodeNames, answer.error());
+    return {code.value_or(error_code::Unknown), answer.detail()};
+}
+
+} // namespace
+
+auto askHost(const std::string &address, http_request request) -> result<http_response>
+{
+    const auto to = parseEndpoint(address);
+    if (!to)
+        return tl::unexpected(to.error());
+    const auto workers = startWorkers(1);
+    auto client = makeHttpClient(*workers, 0);
+    auto ended = callAndWait(client, *to, std::move(request), callTimeout);
+    if (ended.failure == http_failure::NotSent)
+        return failure(error_code::Unreachable, address + ": no connection");
+    if (ended.failure != http_failure::None)
+        return failure(error_code::Unknown,
+                       address + ": " + std::string(nameIn(httpFailureNames, ended.failure)));
+    if (ended.response.status >= 300)
+        return tl::unexpected(toError(ended.response));
+    return std::move(ended.response);
+}
+
+auto exitCodeOf(error_code code) -> exit_code
+{
+    switch (code) {
+    case error_code::InvalidInput:
+        return exit_code::Usage;
+    case error_code::NotFound:
+        return exit_code::NotFound;
+    case error_code::Conflict:
+        return exit_code::Conflict;
+    case error_code::Unreachable:
+        return exit_code::Unreachable;
+    case error_code::TimedOut:
+    case error_code::Unknown:
+        return exit_code::Unknown;
+    case error_code::NotLeader:
+        return exit_code::Failed;
+    }
+    return exit_code::Failed;
+}
+
+auto report(const error &failed) -> exit_code
+{
+    std::cerr << nameIn(errorCodeNames, failed.code) << ": " << failed.detail << "\n";
+    return exitCodeOf(failed.code);
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/command/operator_command.h
@@ -0,0 +1,14 @@
+// Subcommands for operators: classes, failure domains, hosts, status, dump.
+#pragma once
+
+#include "command/subcommand.h"
+
+namespace parsleyloft {
+
+auto runClass(const arguments &rest) -> exit_code;
+auto runDomain(const arguments &rest) -> exit_code;
+auto runHost(const arguments &rest) -> exit_code;
+auto runStatus(const arguments &rest) -> exit_code;
+auto runDump(const arguments &rest) -> exit_code;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/command/subcommand.cpp
@@ -0,0 +1,71 @@
+// The frame of a program with subcommands: lookup, options, help.
+#include "command/subcommand.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace parsleyloft {
+
+namespace options = boost::program_options;
+
+namespace {
+
+auto printHelp(std::string_view program, const std::vector<subcommand> &known) -> void
+{
+    std::cout << "usage: " << program << " SUBCOMMAND [options]\n\n";
+    for (const auto &one : known)
+        std::cout << "  " << one.name << "\t" << one.summary << "\n";
+    std::cout << "\n" << program << " SUBCOMMAND --help shows the options.\n";
+}
+
+} // namespace
+
+auto runSubcommand(std::string_view program, const std::vector<subcommand> &known, int count,
+                   const char *const *values) -> exit_code
+{
+    const arguments all(values + 1, values + count);
+    if (all.empty() || all.front() == "--help" || all.front() == "help") {
+        printHelp(program, known);
+        return all.empty() ? exit_code::Usage : exit_code::Success;
+    }
+    for (const auto &one : known) {
+        if (one.name == all.front())
+            return one.run(arguments(all.begin() + 1, all.end()));
+    }
+    std::cerr << program << ": no subcommand '" << all.front() << "'; see --help\n";
+    return exit_code::Usage;
+}
+
+auto parseOptions(const arguments &rest, const options::options_description &known,
+                  const options::positional_options_description &positional,
+                  options::variables_map &values) -> std::optional<exit_code>
+{
+    // The library reports wrong options by exceptions; they end here as exit codes.
+    try {
+        const auto parsed =
+            options::command_line_parser(rest).options(known).positional(positional).run();
+        options::store(parsed, values);
+        if (values.count("help") > 0) {
+            std::cout << known;
+            return exit_code::Success;
+        }
+        options::notify(values);
+    } catch (const options::error &wrong) {
+        std::cerr << wrong.what() << "; see --help\n";
+        return exit_code::Usage;
+    }
+    return std::nullopt;
+}
+
+auto readFile(const std::string &path) -> result<std::string>
+{
+    std::ifstream file(path);
+    if (!file)
+        return failure(error_code::NotFound, path + ": can't be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/daemon/dispatch.cpp
@@ -0,0 +1,162 @@
+// Requests at the host that may send them: queues, attempts at servers, and their ends.
+#include "daemon/dispatch.h"
+
+#include "codec/assignment_codec.h"
+#include "daemon/attempt.h"
+#include "telemetry/event_log.h"
+
+namespace parsleyloft {
+
+namespace {
+
+// Work that may be repeated and has no keys goes on in a failure domain that is cut off.
+auto mayContinueIdempotent(const daemon_process &daemon, const group_id &group,
+                           const pending_request &request) -> bool
+{
+    const auto *service = findService(daemon.services, group.service);
+    return request.work.mayRepeat && service != nullptr && !service->keyed
+        && group.domain == daemon.self.domain;
+}
+
+// Called with the holdings locked.
+auto maySend(daemon_process &daemon, const group_id &group, const pending_request &request,
+             instant now) -> bool
+{
+    const auto &state = daemon.holdings.state;
+    if (request.owner.empty()) {
+        const auto lapsed = now >= state.leaseEnds;
+        return mayUseGroup(state, group, now)
+            || (lapsed && mayContinueIdempotent(daemon, group, request));
+    }
+    const shard_id shard{group.service, request.shard};
+    const auto *present = findShard(state.table, shard);
+    return present != nullptr && present->owner == request.owner && mayUseShard(state, shard, now);
+}
+
+struct admission
+{
+    // Verdicts to give once the locks are free.
+    std::optional<verdict> own;
+    std::optional<shared_request> shed;
+};
+
+// Called with the group locked.
+auto admit(group_table &table, const shared_request &request, bool repeated, instant now)
+    -> admission
+{
+    if (!request->work.mayRepeat) {
+        const auto known = beginOnce(table.history, request->id, repeated, now);
+        if (known)
+            return {known, std::nullopt};
+    }
+    const auto number = table.nextTicket++;
+    const queued_request queued{
+        number, request->work.name, request->owner, request->shard, now, request->deadline, {}};
+    const auto offered = offer(table.queue, queued, request->work.maxRefusedPermille, now);
+    if (!offered.admitted) {
+        if (!request->work.mayRepeat)
+            endOnce(table.history, request->id, notRun(offered.why));
+        return {notRun(offered.why), std::nullopt};
+    }
+    table.waiting[number] = request;
+    admission result;
+    if (offered.shed) {
+        result.shed = table.waiting[*offered.shed];
+        table.waiting.erase(*offered.shed);
+        endOnce(table.history, (*result.shed)->id, notRun(reason::ShedForOthers));
+    }
+    return result;
+}
+
+auto watchDeadline(daemon_process &daemon, const group_id &group, group_table &table, instant now)
+    -> void
+{
+    auto next = instant::max();
+    for (const auto &[owner, lane] : table.queue.lanes) {
+        if (!lane.empty())
+            next = std::min(next, lane.begin()->deadline);
+    }
+    const auto scheduled = table.nextDeadline > now && table.nextDeadline <= next;
+    if (next == instant::max() || scheduled)
+        return;
+    table.nextDeadline = next;
+    postAfter(*daemon.workers, std::max(next - now, duration(1)),
+              [&daemon, group] { pumpGroup(daemon, group); });
+}
+
+} // namespace
+
+auto passBack(const std::vector<shared_request> &requests, reason why) -> void
+{
+    for (const auto &request : requests)
+        request->respond(notRun(why));
+}
+
+auto takeRequests(group_table &table, const std::vector<ticket> &tickets)
+    -> std::vector<shared_request>
+{
+    std::vector<shared_request> taken;
+    for (const auto number : tickets) {
+        const auto found = table.waiting.find(number);
+        if (found == table.waiting.end())
+            continue;
+        endOnce(table.history, found->second->id, notRun(reason::None));
+        taken.push_back(found->second);
+        table.waiting.erase(found);
+    }
+    return taken;
+}
+
+auto acceptRequest(daemon_process &daemon, const group_id &group, const shared_request &request,
+                   bool repeated) -> void
+{
+    const auto table = groupTable(daemon, group);
+    admission admitted;
+    {
+        const std::scoped_lock guard(daemon.holdings.lock, table->lock);
+        const auto now = monotonicNow();
+        noteLapse(daemon.holdings.state, now);
+        if (maySend(daemon, group, *request, now))
+            admitted = admit(*table, request, repeated, now);
+        else
+            admitted.own = notRun(reason::WrongHolder);
+    }
+    if (admitted.shed)
+        (*admitted.shed)->respond(notRun(reason::ShedForOthers));
+    if (admitted.own)
+        request->respond(*admitted.own);
+    else
+        pumpGroup(daemon, group);
+}
+
+auto pumpGroup(daemon_process &daemon, const group_id &group) -> void
+{
+    const auto table = groupTable(daemon, group);
+    std::vector<shared_request> expired;
+    std::vector<shared_request> lost;
+    std::vector<attempt> attempts;
+    {
+        const std::scoped_lock guard(daemon.holdings.lock, table->lock);
+        const auto now = monotonicNow();
+        noteLapse(daemon.holdings.state, now);
+        expired = takeRequests(*table, takeExpired(table->queue, now));
+        for (const auto &one : takeStarts(table->queue, now)) {
+            const auto request = table->waiting.at(one.request.number);
+            table->waiting.erase(one.request.number);
+            if (maySend(daemon, group, *request, now)) {
+                attempts.push_back(beginAttempt(daemon, *table, group, request, one.server, now));
+                continue;
+            }
+            finish(table->queue, one.server, attempt_result::Failed, 0us);
+            endOnce(table->history, request->id, notRun(reason::WrongHolder));
+            lost.push_back(request);
+        }
+        watchDeadline(daemon, group, *table, now);
+    }
+    passBack(expired, reason::DeadlinePassed);
+    passBack(lost, reason::WrongHolder);
+    for (auto &one : attempts)
+        sendAttempt(daemon, std::move(one));
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/daemon/entry.h
@@ -0,0 +1,28 @@
+// Requests of callers at the host where they enter: checks, routing, forwarding, repeats.
+#pragma once
+
+#include "daemon/daemon.h"
+
+namespace parsleyloft {
+
+struct caller_request
+{
+    class_name className;
+    request_id id;
+    std::string key;
+    std::string body;
+    // The caller's own limit, if shorter than the class's.
+    std::optional<duration> limit;
+    // True when the caller sent the same request before.
+    bool repeated = false;
+};
+
+// Carries a caller's request to its end. The callback runs exactly once.
+auto enterRequest(daemon_process &daemon, caller_request request,
+                  std::function<void(verdict)> respond) -> void;
+
+// Answers a request that another host forwarded.
+auto answerForward(daemon_process &daemon, const wire::ForwardRequest &request,
+                   peer_respond<wire::ForwardReply> respond) -> void;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/daemon/http_api.cpp
@@ -0,0 +1,261 @@
+// The HTTP interface towards callers and operators. docs/PROTOCOL.md describes it.
+#include "daemon/http_api.h"
+
+#include "codec/configuration_codec.h"
+#include "codec/json.h"
+#include "daemon/dump.h"
+#include "daemon/entry.h"
+#include "daemon/operators.h"
+#include "generated/operator.pb.h"
+
+#include <charconv>
+
+namespace parsleyloft {
+
+namespace {
+
+constexpr std::string_view callPrefix = "/v1/call/";
+constexpr std::string_view classPrefix = "/v1/classes/";
+constexpr std::size_t maxRequestIdLength = 128;
+constexpr std::size_t maxKeyLength = 512;
+
+auto parseNumber(const std::string &text) -> std::optional<std::uint64_t>
+{
+    std::uint64_t number = 0;
+    const auto *end = text.data() + text.size();
+    const auto [stop, failed] = std::from_chars(text.data(), end, number);
+    if (text.empty() || failed != std::errc() || stop != end)
+        return std::nullopt;
+    return number;
+}
+
+auto jsonResponse(unsigned status, const google::protobuf::Message &message) -> http_response
+{
+    http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = toJson(message) + "\n";
+    return response;
+}
+
+auto statusOf(error_code code) -> unsigned
+{
+    switch (code) {
+    case error_code::InvalidInput:
+        return 400;
+    case error_code::NotFound:
+        return 404;
+    case error_code::Conflict:
+        return 409;
+    case error_code::TimedOut:
+    case error_code::Unknown:
+        return 504;
+    case error_code::Unreachable:
+    case error_code::NotLeader:
+        return 503;
+    }
+    return 500;
+}
+
+auto errorResponse(const error &failed) -> http_response
+{
+    wire::ErrorAnswer answer;
+    answer.set_error(std::string(nameIn(errorCodeNames, failed.code)));
+    answer.set_detail(failed.detail);
+    return jsonResponse(statusOf(failed.code), answer);
+}
+
+auto errorResponse(error_code code, std::string detail) -> http_response
+{
+    return errorResponse(error{code, std::move(detail)});
+}
+
+auto statusOf(const verdict &told) -> unsigned
+{
+    if (told.result == outcome::Answered)
+        return 200;
+    if (told.result == outcome::Unknown)
+        return told.why == reason::DeadlinePassed ? 504 : 502;
+    switch (told.why) {
+    case reason::BadRequest:
+    case reason::MissingKey:
+    case reason::MissingRequestId:
+        return 400;
+    case reason::UnknownClass:
+        return 404;
+    case reason::TooLarge:
+        return 413;
+    case reason::QueueFull:
+    case reason::WaitTooLong:
+    case reason::ShedForOthers:
+        return 429;
+    default:
+        return 503;
+    }
+}
+
+auto toResponse(const request_id &id, verdict &&told) -> http_response
+{
+    http_response response;
+    response.status = statusOf(told);
+    response.headers["Request-Id"] = id;
+    response.headers["Parsleyloft-Outcome"] = std::string(nameIn(outcomeNames, told.result));
+    response.headers["Parsleyloft-Reason"] = std::string(nameIn(reasonNames, told.why));
+    response.body = std::move(told.body);
+    return response;
+}
+
+auto parseCall(const http_request &request) -> tl::expected<caller_request, reason>
+{
+    caller_request call;
+    call.className = std::string(pathOf(request.target).substr(callPrefix.size()));
+    call.id = headerOf(request.headers, "Request-Id");
+    call.key = headerOf(request.headers, "Key");
+    call.repeated = headerOf(request.headers, "Repeated") == "yes";
+    if (call.id.size() > maxRequestIdLength || call.key.size() > maxKeyLength)
+        return tl::unexpected(reason::BadRequest);
+    const auto limit = headerOf(request.headers, "Deadline-Ms");
+    if (limit.empty())
+        return call;
+    const auto milliseconds = parseNumber(limit);
+    constexpr std::uint64_t longestLimitMs = 600'000;
+    if (!milliseconds || *milliseconds == 0 || *milliseconds > longestLimitMs)
+        return tl::unexpected(reason::BadRequest);
+    call.limit = std::chrono::milliseconds(*milliseconds);
+    return call;
+}
+
+auto handleCall(daemon_process &daemon, http_request request, http_respond respond) -> void
+{
+    auto call = parseCall(request);
+    if (!call || request.method != "POST") {
+        respond(toResponse(headerOf(request.headers, "Request-Id"), notRun(reason::BadRequest)));
+        return;
+    }
+    call->body = std::move(request.body);
+    const auto id = call->id;
+    enterRequest(daemon, std::move(*call), [id, respond = std::move(respond)](verdict told) {
+        respond(toResponse(id, std::move(told)));
+    });
+}
+
+auto expectedRevision(const http_request &request) -> std::optional<std::uint64_t>
+{
+    return parseNumber(headerOf(request.headers, "If-Match"));
+}
+
+auto applyAndRespond(daemon_process &daemon, const http_request &request,
+                     const configuration_change &change, http_respond respond) -> void
+{
+    changeConfiguration(daemon, change, expectedRevision(request),
+                        [respond = std::move(respond)](const result<configuration> &ended) {
+                            if (ended)
+                                respond(jsonResponse(200, toWire(*ended)));
+                            else
+                                respond(errorResponse(ended.error()));
+                        });
+}
+
+auto handleClassChange(daemon_process &daemon, const http_request &request, http_respond respond)
+    -> void
+{
+    const auto name = std::string(pathOf(request.target).substr(classPrefix.size()));
+    if (request.method == "DELETE") {
+        applyAndRespond(daemon, request, remove_class{name}, std::move(respond));
+        return;
+    }
+    wire::ClassOfWork message;
+    const auto read = readJson(request.body, message);
+    if (!read || request.method != "PUT") {
+        respond(errorResponse(read ? error{error_code::InvalidInput, "use PUT or DELETE"}
+                                   : read.error()));
+        return;
+    }
+    message.set_name(name);
+    applyAndRespond(daemon, request, set_class{fromWire(message)}, std::move(respond));
+}
+
+auto handleServiceChange(daemon_process &daemon, const http_request &request, bool isDomain,
+                         http_respond respond) -> void
+{
+    wire::SetService message;
+    const auto read = readJson(request.body, message);
+    if (!read) {
+        respond(errorResponse(read.error()));
+        return;
+    }
+    if (isDomain)
+        applyAndRespond(daemon, request, set_domain{message.id(), message.out()},
+                        std::move(respond));
+    else
+        applyAndRespond(daemon, request, set_host{message.id(), message.out()}, std::move(respond));
+}
+
+auto handleHealth(daemon_process &daemon) -> http_response
+{
+    const auto wanted = currentConfiguration(daemon);
+    const auto out =
+        wanted.domainsOut.contains(daemon.self.domain) || wanted.hostsOut.contains(daemon.self.id);
+    http_response response;
+    response.status = daemon.draining || out ? 503 : 200;
+    response.body = daemon.draining ? "draining\n" : out ? "out of service\n" : "serving\n";
+    return response;
+}
+
+auto handleMetrics(daemon_process &daemon) -> http_response
+{
+    http_response response;
+    response.headers["Content-Type"] = "text/plain; version=0.0.4";
+    response.body = renderMetrics(daemon.counters);
+    return response;
+}
+
+auto handleLinks(daemon_process &daemon, const http_request &request) -> http_response
+{
+    if (!daemon.settings.allow_link_cuts())
+        return errorResponse(error_code::NotFound, "allow_link_cuts is not set");
+    wire::LinkCuts message;
+    const auto read = readJson(request.body, message);
+    if (!read)
+        return errorResponse(read.error());
+    const std::lock_guard guard(daemon.cuts.lock);
+    daemon.cuts.peers = {message.peers().begin(), message.peers().end()};
+    daemon.cuts.platform = message.platform();
+    return jsonResponse(200, message);
+}
+
+auto handleRead(daemon_process &daemon, std::string_view path) -> http_response
+{
+    if (path == "/health")
+        return handleHealth(daemon);
+    if (path == "/metrics")
+        return handleMetrics(daemon);
+    if (path == "/v1/dump")
+        return jsonResponse(200, dumpState(daemon));
+    if (path == "/v1/configuration")
+        return jsonResponse(200, toWire(currentConfiguration(daemon)));
+    return errorResponse(error_code::NotFound, "no such resource: " + std::string(path));
+}
+
+} // namespace
+
+auto handleHttp(daemon_process &daemon, http_request request, http_respond respond) -> void
+{
+    const auto path = pathOf(request.target);
+    if (path.starts_with(callPrefix))
+        handleCall(daemon, std::move(request), std::move(respond));
+    else if (path.starts_with(classPrefix))
+        handleClassChange(daemon, request, std::move(respond));
+    else if (path == "/v1/domains" && request.method == "POST")
+        handleServiceChange(daemon, request, true, std::move(respond));
+    else if (path == "/v1/hosts" && request.method == "POST")
+        handleServiceChange(daemon, request, false, std::move(respond));
+    else if (path == "/test/links" && request.method == "POST")
+        respond(handleLinks(daemon, request));
+    else if (request.method == "GET")
+        respond(handleRead(daemon, path));
+    else
+        respond(errorResponse(error_code::NotFound, "no such resource: " + std::string(path)));
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/daemon/leader.cpp
@@ -0,0 +1,285 @@
+// What the leader does: plans the table, stores it, gives it out, keeps the members.
+#include "daemon/leader.h"
+
+#include "codec/assignment_codec.h"
+#include "codec/configuration_codec.h"
+#include "telemetry/event_log.h"
+
+namespace parsleyloft {
+
+namespace {
+
+constexpr duration retryPause = 500ms;
+constexpr duration listPeriod = 1s;
+
+// A member that was silent for so long loses its vote.
+constexpr duration memberLossTimeout = 10s;
+
+// True while the host still leads in the term in which it began something.
+auto stillLeads(const leadership_table &table, term in) -> bool
+{
+    return table.state.role == leadership_role::Leader && table.state.highest == in;
+}
+
+auto beginLeading(leadership_table &table, instant now) -> void
+{
+    beginTerm(table.planner, table.state.highest);
+    table.plannedTerm = table.state.highest;
+    table.plannedSince = now;
+    table.writes = {};
+    table.tableWanted = false;
+}
+
+auto takeStoredTable(daemon_process &daemon, term in, const result<store_value> &ended) -> void
+{
+    const std::lock_guard guard(daemon.leadership.lock);
+    auto &table = daemon.leadership;
+    table.writes.tableBusy = false;
+    if (!stillLeads(table, in))
+        return;
+    if (!ended) {
+        table.writes.nextTableTry = monotonicNow() + retryPause;
+        return;
+    }
+    table.writes.tableIndex = ended->index;
+    wire::AssignmentTable message;
+    if (ended->index == 0 || !message.ParseFromString(ended->value))
+        return;
+    const auto stored = fromWire(message);
+    meetTerm(table.state, stored.givenIn);
+    if (stored.givenIn < in) {
+        const auto version = table.planner.table.version;
+        mergeNewer(table.planner.table, stored);
+        table.planner.table.version = version;
+        return;
+    }
+    // An earlier write of this term whose answer was lost has taken effect.
+    if (stored == table.given)
+        table.writes.tableBehind = false;
+}
+
+auto readTable(daemon_process &daemon, term in) -> void
+{
+    storeRead(daemon, tableKey(daemon), [&daemon, in](const result<store_value> &ended) {
+        takeStoredTable(daemon, in, ended);
+    });
+}
+
+auto giveOut(leadership_table &table, const assignment_table &next, bool stored) -> void
+{
+    table.given = next;
+    table.writes.tableBehind = !stored;
+    logEvent(log_level::Debug, "table_given",
+             {{"term", toString(next.givenIn)}, {"version", std::to_string(next.version)}});
+}
+
+auto finishTableWrite(daemon_process &daemon, const assignment_table &next,
+                      const result<void> &ended) -> void
+{
+    const std::lock_guard guard(daemon.leadership.lock);
+    auto &table = daemon.leadership;
+    table.writes.tableBusy = false;
+    table.writes.tableIndex.reset();
+    if (!stillLeads(table, next.givenIn))
+        return;
+    if (ended) {
+        giveOut(table, next, true);
+        return;
+    }
+    table.writes.nextTableTry = monotonicNow() + retryPause;
+    // A conflict is another leader's write or an own lost answer: the next reading tells.
+    if (ended.error().code == error_code::Conflict)
+        table.writes.nextTableTry = instant{};
+    else
+        giveOut(table, next, false);
+}
+
+// Writes the table and gives it out after. While the key-value service is down it is
+// given out at once: the holders' reports stand in for the write.
+auto writeTable(daemon_process &daemon, leadership_table &table, const assignment_table &next)
+    -> task
+{
+    if (!daemon.storeReachable)
+        giveOut(table, next, false);
+    if (!table.writes.tableIndex || monotonicNow() < table.writes.nextTableTry)
+        return {};
+    table.writes.tableBusy = true;
+    const auto index = *table.writes.tableIndex;
+    return [&daemon, next, index] {
+        storeWrite(
+            daemon, tableKey(daemon), toWire(next).SerializeAsString(), index,
+            [&daemon, next](const result<void> &ended) { finishTableWrite(daemon, next, ended); });
+    };
+}
+
+auto tableWork(daemon_process &daemon, leadership_table &table, instant now) -> task
+{
+    if (table.writes.tableBusy)
+        return {};
+    if (!table.writes.tableIndex && now >= table.writes.nextTableTry) {
+        table.writes.tableBusy = true;
+        return [&daemon, in = table.state.highest] { readTable(daemon, in); };
+    }
+    const auto next = nextToGiveOut(table.planner, table.given);
+    if (next && (table.writes.tableIndex || !daemon.storeReachable))
+        return writeTable(daemon, table, *next);
+    if (!next && table.writes.tableBehind && now >= table.writes.nextTableTry)
+        return writeTable(daemon, table, table.given);
+    return {};
+}
+
+auto liveHosts(const leadership_table &table, const configuration &wanted, instant now)
+    -> std::vector<live_host>
+{
+    std::vector<live_host> hosts;
+    for (const auto &[id, host] : table.planner.hosts) {
+        const auto info = table.planner.table.hosts.find(id);
+        if (info == table.planner.table.hosts.end())
+            continue;
+        const auto member = isMember(table.state.record, id, host.start);
+        const auto alive =
+            isAlive(table.planner, id, now) || (member && now < host.lastSeen + memberLossTimeout);
+        const auto leaving =
+            host.draining || wanted.hostsOut.contains(id) || table.leavingHosts.contains(id);
+        hosts.push_back({{id, host.start, info->second.domain}, alive, leaving});
+    }
+    for (const auto &one : table.state.record.members) {
+        const auto heard = table.planner.hosts.contains(one.host);
+        if (!heard && now >= table.plannedSince + memberLossTimeout)
+            hosts.push_back({one, false, false});
+    }
+    return hosts;
+}
+
+auto finishRecordWrite(daemon_process &daemon, const member_record &next, term in,
+                       const result<void> &ended) -> void
+{
+    const std::lock_guard guard(daemon.leadership.lock);
+    auto &table = daemon.leadership;
+    table.writes.recordBusy = false;
+    table.writes.recordIndex.reset();
+    if (!stillLeads(table, in))
+        return;
+    if (!ended) {
+        table.writes.nextRecordTry = monotonicNow() + retryPause;
+        return;
+    }
+    table.state.record = next;
+    table.state.pendingRecord.reset();
+    logEvent(log_level::Info, "members_changed",
+             {{"version", std::to_string(next.version)},
+              {"members", std::to_string(next.members.size())}});
+}
+
+auto takeStoredRecord(daemon_process &daemon, term in, const result<store_value> &ended) -> void
+{
+    const std::lock_guard guard(daemon.leadership.lock);
+    auto &table = daemon.leadership;
+    table.writes.recordBusy = false;
+    if (!stillLeads(table, in))
+        return;
+    if (!ended) {
+        table.writes.nextRecordTry = monotonicNow() + retryPause;
+        return;
+    }
+    table.state.recordRead = true;
+    table.writes.recordIndex = ended->index;
+    wire::MemberRecord message;
+    if (ended->index == 0 || !message.ParseFromString(ended->value))
+        return;
+    const auto stored = fromWire(message);
+    meetTerm(table.state, stored.givenIn);
+    if (stored.version > table.state.record.version)
+        table.state.record = stored;
+    const auto &pending = table.state.pendingRecord;
+    if (pending && stored.version >= pending->version)
+        table.state.pendingRecord.reset();
+}
+
+auto recordWork(daemon_process &daemon, leadership_table &table, const configuration &wanted,
+                instant now) -> task
+{
+    if (table.writes.recordBusy || now < table.writes.nextRecordTry)
+        return {};
+    const auto in = table.state.highest;
+    if (!table.writes.recordIndex) {
+        table.writes.recordBusy = true;
+        return [&daemon, in] {
+            storeRead(daemon, recordKey(daemon), [&daemon, in](const result<store_value> &ended) {
+                takeStoredRecord(daemon, in, ended);
+            });
+        };
+    }
+    if (!table.state.pendingRecord)
+        table.state.pendingRecord = proposeRecord(table.state, liveHosts(table, wanted, now));
+    if (!table.state.pendingRecord)
+        return {};
+    table.writes.recordBusy = true;
+    const auto next = *table.state.pendingRecord;
+    return [&daemon, next, in, index = *table.writes.recordIndex] {
+        storeWrite(daemon, recordKey(daemon), toWire(next).SerializeAsString(), index,
+                   [&daemon, next, in](const result<void> &ended) {
+                       finishRecordWrite(daemon, next, in, ended);
+                   });
+    };
+}
+
+auto takeList(daemon_process &daemon, const host_list &list) -> void
+{
+    for (const auto &host : list.hosts)
+        learnHost(daemon, host);
+    const std::lock_guard guard(daemon.leadership.lock);
+    auto &table = daemon.leadership;
+    table.leavingHosts = {list.leavingHosts.begin(), list.leavingHosts.end()};
+    if (table.state.role == leadership_role::Leader)
+        takeHostList(table.planner, list.hosts, list.servers);
+}
+
+auto readPlatform(daemon_process &daemon) -> void
+{
+    storeHostList(daemon, [&daemon](const result<host_list> &ended) {
+        if (ended)
+            takeList(daemon, *ended);
+    });
+    storeRead(daemon, configurationKey(), [&daemon](const result<store_value> &ended) {
+        wire::Configuration message;
+        if (ended && ended->index != 0 && message.ParseFromString(ended->value))
+            adoptConfiguration(daemon, fromWire(message));
+    });
+}
+
+} // namespace
+
+auto leadOnce(daemon_process &daemon) -> void
+{
+    const auto wanted = currentConfiguration(daemon);
+    const auto now = monotonicNow();
+    task writeNext;
+    task recordNext;
+    auto listDue = false;
+    {
+        const std::lock_guard guard(daemon.leadership.lock);
+        auto &table = daemon.leadership;
+        setLeading(daemon.counters, table.state.role == leadership_role::Leader);
+        if (table.state.role != leadership_role::Leader)
+            return;
+        if (table.plannedTerm != table.state.highest)
+            beginLeading(table, now);
+        listDue = now >= table.writes.nextListRead;
+        if (listDue)
+            table.writes.nextListRead = now + listPeriod;
+        if (isLicensed(table.state, now)) {
+            planTable(table.planner, wanted, table.state.quietUntil, now);
+            writeNext = tableWork(daemon, table, now);
+            recordNext = recordWork(daemon, table, wanted, now);
+        }
+    }
+    if (listDue)
+        readPlatform(daemon);
+    if (writeNext)
+        writeNext();
+    if (recordNext)
+        recordNext();
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/daemon/leader.h
@@ -0,0 +1,11 @@
+// What the leader does: plans the table, stores it, gives it out, keeps the members.
+#pragma once
+
+#include "daemon/daemon.h"
+
+namespace parsleyloft {
+
+// One step of the leader's work. Does nothing on other hosts.
+auto leadOnce(daemon_process &daemon) -> void;
+
+} // namespace parsleyloft
--- /dev/null
+++ b/daemon/serve.cpp
@@ -0,0 +1,228 @@
+// The life of one entry host's process: start, work, graceful stop.
+#include "daemon/serve.h"
+
+#include "codec/assignment_codec.h"
+#include "codec/configuration_codec.h"
+#include "daemon/election.h"
+#include "daemon/entry.h"
+#include "daemon/exchange.h"
+#include "daemon/grants.h"
+#include "daemon/http_api.h"
+#include "daemon/leader.h"
+#include "telemetry/event_log.h"
+
+#include <random>
+#include <thread>
+
+namespace parsleyloft {
+
+namespace {
+
+constexpr duration leadPeriod = 50ms;
+constexpr duration electionPeriod = 50ms;
+constexpr duration gossipPeriod = 1s;
+constexpr duration platformPeriod = 1s;
+
+// Connections kept to each backend server; a server has at most this many slots.
+constexpr std::size_t idlePerServer = 16;
+
+// During a drain: how often its progress is looked at, and how long the other hosts get
+// to learn that this one holds nothing any more.
+constexpr auto drainLook = std::chrono::milliseconds(20);
+constexpr auto drainNotice = std::chrono::milliseconds(600);
+
+auto drawStartNumber() -> start_number
+{
+    std::random_device source;
+    return (start_number(source()) << 32U) | source();
+}
+
+auto leaseHasLapsed(daemon_process &daemon) -> bool
+{
+    const std::lock_guard guard(daemon.holdings.lock);
+    return monotonicNow() >= daemon.holdings.state.leaseEnds;
+}
+
+auto readConfiguration(daemon_process &daemon) -> void
+{
+    storeRead(daemon, configurationKey(), [&daemon](const result<store_value> &ended) {
+        wire::Configuration message;
+        if (ended && ended->index != 0 && message.ParseFromString(ended->value))
+            adoptConfiguration(daemon, fromWire(message));
+    });
+}
+
+auto readPeers(daemon_process &daemon) -> void
+{
+    storeHostList(daemon, [&daemon](const result<host_list> &ended) {
+        if (!ended)
+            return;
+        for (const auto &host : ended->hosts)
+            learnHost(daemon, host);
+    });
+}
+
+// A host with a lease learns all it needs from its leader and spares the platform.
+auto readPlatformIfAlone(daemon_process &daemon) -> void
+{
+    if (!leaseHasLapsed(daemon))
+        return;
+    readConfiguration(daemon);
+    readPeers(daemon);
+    readRecord(daemon);
+}
+
+auto repeat(daemon_process &daemon, duration period, void (*work)(daemon_process &)) -> void
+{
+    postEvery(*daemon.workers, period, [&daemon, work] {
+        if (!daemon.stopping)
+            work(daemon);
+        return !daemon.stopping;
+    });
+}
+
+auto beginWork(daemon_process &daemon) -> void
+{
+    post(*daemon.workers, [&daemon] { readPlatformIfAlone(daemon); });
+    repeat(daemon, daemon.limits.exchangePeriod, exchangeOnce);
+    repeat(daemon, daemon.limits.exchangePeriod, grantOnce);
+    repeat(daemon, gossipPeriod, gossipOnce);
+    repeat(daemon, electionPeriod, electIfDue);
+    repeat(daemon, leadPeriod, leadOnce);
+    repeat(daemon, platformPeriod, readPlatformIfAlone);
+}
+
+auto peerHandlers(daemon_process &daemon) -> peer_handlers
+{
+    peer_handlers handlers;
+    handlers.exchange = [&daemon](const wire::ExchangeRequest &request,
+                                  const peer_respond<wire::ExchangeReply> &respond) {
+        // A host that is cut off gets the answer of a host that knows nothing.
+        if (isCutFrom(daemon, request.sender().host_id()))
+            respond({});
+        else
+            respond(answerExchange(daemon, request));
+    };
+    handlers.consent = [&daemon](const wire::ConsentRequest &request,
+                                 const peer_respond<wire::ConsentReply> &respond) {
+        if (isCutFrom(daemon, request.candidate()))
+            respond({});
+        else
+            respond(answerConsentRequest(daemon, request));
+    };
+    handlers.forward = [&daemon](const wire::ForwardRequest &request,
+                                 peer_respond<wire::ForwardReply> respond) {
+        answerForward(daemon, request, std::move(respond));
+    };
+    return handlers;
+}
+
+auto fillTables(daemon_process &daemon) -> void
+{
+    const auto &settings = daemon.settings;
+    daemon.self = {settings.host_id(), settings.failure_domain(), settings.caller_address(),
+                   settings.peer_address()};
+    daemon.start = drawStartNumber();
+    daemon.services = servicesFromWire(settings);
+    const auto now = monotonicNow();
+    const member self{daemon.self.id, daemon.start, daemon.self.domain};
+    daemon.leadership.state = newLeadership(daemon.limits, self, now);
+    daemon.leadership.lastLeaderWord = now;
+    daemon.leadership.planner.limits = daemon.limits;
+    daemon.leadership.planner.services = daemon.services;
+    daemon.holdings.state = newHoldings(daemon.limits, daemon.self.id);
+    for (const auto &peer : settings.peers())
+        learnHost(daemon, {peer.host_id(), {}, {}, peer.peer_address()});
+}
+
+auto journalLife(daemon_process &daemon, wire::JournalKind kind) -> void
+{
+    wire::JournalEvent event;
+    event.set_kind(kind);
+    event.set_server_id(daemon.settings.caller_address());
+    record(daemon.events, std::move(event));
+}
+
+// True once this host holds no group and no request is under way here.
+auto isEmpty(daemon_process &daemon) -> bool
+{
+    if (openRequests(daemon.callerServer) > 0 || openConnections(daemon.callerServer) > 0)
+        return false;
+    const std::lock_guard guard(daemon.holdings.lock);
+    const auto &state = daemon.holdings.state;
+    const auto now = monotonicNow();
+    for (const auto &[id, group] : state.table.groups) {
+        if (mayUseGroup(state, id, now) || isReleasingGroup(state, id, now))
+            return false;
+    }
+    return true;
+}
+
+auto waitUntilEmpty(daemon_process &daemon) -> bool
+{
+    const auto limit = std::chrono::milliseconds(daemon.settings.drain_limit_ms());
+    const auto end = monotonicNow() + limit;
+    while (!isEmpty(daemon)) {
+        if (monotonicNow() >= end)
+            return false;
+        std::this_thread::sleep_for(drainLook);
+    }
+    return true;
+}
+
+} // namespace
+
+auto startDaemon(const wire::Settings &settings) -> result<std::unique_ptr<daemon_process>>
+{
+    auto daemon = std::make_unique<daemon_process>();
+    daemon->settings = settings;
+    fillTables(*daemon);
+    auto events = openJournal(settings.journal_path(), settings.host_id());
+    if (!events)
+        return tl::unexpected(events.error());
+    daemon->events = std::move(*events);
+    daemon->counters = makeMetrics();
+    daemon->workers = startWorkers(settings.worker_threads());
+    daemon->servers = makeHttpClient(*daemon->workers, idlePerServer);
+    daemon->store.http = makeHttpClient(*daemon->workers, 2);
+    daemon->store.at = *parseEndpoint(settings.platform_address());
+    daemon->peers = makePeerClient();
+    auto peerServer = startPeerServer(settings.peer_address(), peerHandlers(*daemon));
+    if (!peerServer)
+        return tl::unexpected(peerServer.error());
+    daemon->peerServer = std::move(*peerServer);
+    const auto where = *parseEndpoint(settings.caller_address());
+    auto callerServer =
+        startHttpServer(*daemon->workers, where, {settings.max_body_bytes(), 0us},
+                        [inside = daemon.get()](http_request request, http_respond respond) {
+                            handleHttp(*inside, std::move(request), std::move(respond));
+                        });
+    if (!callerServer)
+        return tl::unexpected(callerServer.error());
+    daemon->callerServer = std::move(*callerServer);
+    journalLife(*daemon, wire::JOURNAL_KIND_STARTED);
+    beginWork(*daemon);
+    logEvent(log_level::Info, "started",
+             {{"callers", settings.caller_address()}, {"peers", settings.peer_address()}});
+    return daemon;
+}
+
+auto stopDaemon(daemon_process &daemon) -> bool
+{
+    journalLife(daemon, wire::JOURNAL_KIND_STOP_BEGAN);
+    logEvent(log_level::Info, "drain_began", {});
+    daemon.draining = true;
+    std::this_thread::sleep_for(drainNotice);
+    beginHttpDrain(*daemon.workers, daemon.callerServer);
+    const auto emptied = waitUntilEmpty(daemon);
+    stopListening(daemon.callerServer);
+    std::this_thread::sleep_for(drainNotice);
+    daemon.stopping = true;
+    stopPeerServer(daemon.peerServer, std::chrono::seconds(1));
+    stopWorkers(*daemon.workers);
+    journalLife(daemon, wire::JOURNAL_KIND_STOP_ENDED);
+    logEvent(log_level::Info, "stopped", {{"whole", emptied ? "yes" : "no"}});
+    return emptied;
+}
+
+} // namespace parsleyloft
