--- a/codec/assignment_codec.cpp
+++ b/codec/assignment_codec.cpp
@@ -35,7 +35,7 @@
 }
 
 auto toWire(const service_name &service, const std::vector<shard_assignment> &shards)
-    -> wire::ShardAssignments
+        -> wire::ShardAssignments
 {
     wire::ShardAssignments message;
     message.set_service(service);
@@ -55,7 +55,7 @@
 auto fromWire(const wire::ShardAssignments &message) -> std::vector<shard_assignment>
 {
     const auto count =
-        std::min({message.owners_size(), message.epochs_size(), message.phases_size()});
+            std::min({message.owners_size(), message.epochs_size(), message.phases_size()});
     std::vector<shard_assignment> shards(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         auto &shard = shards[static_cast<std::size_t>(index)];
@@ -68,16 +68,34 @@
     return shards;
 }
 
-auto fromWire(const wire::ShardRelease &message) -> shard_release
+auto fromWireRelease(const wire::ShardRelease &message) -> shard_release
 {
     return {{message.service(), message.shard()}, parsleyloft::fromWire(message.epoch())};
 }
 
-auto fromWire(const wire::GroupRelease &message) -> group_release
+auto fromWireRelease(const wire::GroupRelease &message) -> group_release
 {
     return {{message.service(), message.failure_domain()}, parsleyloft::fromWire(message.epoch())};
 }
 
+auto toWireRelease(const shard_release &release) -> wire::ShardRelease
+{
+    wire::ShardRelease message;
+    message.set_service(release.shard.service);
+    message.set_shard(release.shard.index);
+    *message.mutable_epoch() = parsleyloft::toWire(release.given);
+    return message;
+}
+
+auto toWireRelease(const group_release &release) -> wire::GroupRelease
+{
+    wire::GroupRelease message;
+    message.set_service(release.group.service);
+    message.set_failure_domain(release.group.domain);
+    *message.mutable_epoch() = parsleyloft::toWire(release.given);
+    return message;
+}
+
 } // namespace
 
 auto toWire(const term &value) -> wire::Term
@@ -219,37 +237,90 @@
             fromWire(message.highest()), fromWire(message.record())};
 }
 
-auto toWire(const shard_release &release) -> wire::ShardRelease
+auto toWire(const exchange_request &request) -> wire::ExchangeRequest
 {
-    wire::ShardRelease message;
-    message.set_service(release.shard.service);
-    message.set_shard(release.shard.index);
-    *message.mutable_epoch() = toWire(release.given);
+    wire::ExchangeRequest message;
+    *message.mutable_sender() = toWire(request.report.host);
+    message.set_start_number(request.report.start);
+    message.set_draining(request.report.draining);
+    *message.mutable_term() = toWire(request.highest);
+    message.set_record_version(request.recordVersion);
+    *message.mutable_table_term() = toWire(request.tableTerm);
+    message.set_table_version(request.tableVersion);
+    if (request.echoedStamp)
+        message.set_echoed_stamp_us(toMicroseconds(*request.echoedStamp));
+    if (request.table)
+        *message.mutable_table() = toWire(*request.table);
+    for (const auto &release : request.report.releasedShards)
+        *message.add_released_shards() = toWireRelease(release);
+    for (const auto &release : request.report.releasedGroups)
+        *message.add_released_groups() = toWireRelease(release);
+    for (const auto &[server, reachable] : request.report.serverReachable) {
+        auto *added = message.add_servers();
+        added->set_server_id(server);
+        added->set_reachable(reachable);
+    }
     return message;
 }
 
-auto toWire(const group_release &release) -> wire::GroupRelease
+auto fromWire(const wire::ExchangeRequest &message) -> exchange_request
 {
-    wire::GroupRelease message;
-    message.set_service(release.group.service);
-    message.set_failure_domain(release.group.domain);
-    *message.mutable_epoch() = toWire(release.given);
+    exchange_request request;
+    request.report.host = fromWire(message.sender());
+    request.report.start = message.start_number();
+    request.report.draining = message.draining();
+    for (const auto &release : message.released_groups())
+        request.report.releasedGroups.push_back(fromWireRelease(release));
+    for (const auto &release : message.released_shards())
+        request.report.releasedShards.push_back(fromWireRelease(release));
+    for (const auto &server : message.servers())
+        request.report.serverReachable[server.server_id()] = server.reachable();
+    request.highest = fromWire(message.term());
+    request.recordVersion = message.record_version();
+    request.tableTerm = fromWire(message.table_term());
+    request.tableVersion = message.table_version();
+    // A stamp of 0 stands for none: a process never stamps at the zero of its clock.
+    if (message.echoed_stamp_us() != 0)
+        request.echoedStamp = fromMicroseconds(message.echoed_stamp_us());
+    if (message.has_table())
+        request.table = fromWire(message.table());
+    return request;
+}
+
+auto toWire(const exchange_reply &reply) -> wire::ExchangeReply
+{
+    wire::ExchangeReply message;
+    message.set_host_id(reply.from);
+    *message.mutable_term() = toWire(reply.highest);
+    message.set_leader(reply.leader);
+    message.set_leading(reply.leading);
+    message.set_stamp_us(toMicroseconds(reply.stamp));
+    message.set_confirmation_age_us(reply.confirmationAge.count());
+    message.set_lease_given(reply.leaseGiven);
+    message.set_table_wanted(reply.tableWanted);
+    if (reply.table)
+        *message.mutable_table() = toWire(*reply.table);
+    if (reply.record)
+        *message.mutable_record() = toWire(*reply.record);
     return message;
 }
 
-auto reportFromWire(const wire::ExchangeRequest &message) -> host_report
+auto fromWire(const wire::ExchangeReply &message) -> exchange_reply
 {
-    host_report report;
-    report.host = fromWire(message.sender());
-    report.start = message.start_number();
-    report.draining = message.draining();
-    for (const auto &release : message.released_groups())
-        report.releasedGroups.push_back(fromWire(release));
-    for (const auto &release : message.released_shards())
-        report.releasedShards.push_back(fromWire(release));
-    for (const auto &server : message.servers())
-        report.serverReachable[server.server_id()] = server.reachable();
-    return report;
+    exchange_reply reply;
+    reply.from = message.host_id();
+    reply.highest = fromWire(message.term());
+    reply.leader = message.leader();
+    reply.leading = message.leading();
+    reply.stamp = fromMicroseconds(message.stamp_us());
+    reply.confirmationAge = duration(message.confirmation_age_us());
+    reply.leaseGiven = message.lease_given();
+    reply.tableWanted = message.table_wanted();
+    if (message.has_table())
+        reply.table = fromWire(message.table());
+    if (message.has_record())
+        reply.record = fromWire(message.record());
+    return reply;
 }
 
 } // namespace parsleyloft
--- a/codec/assignment_codec.h
+++ b/codec/assignment_codec.h
@@ -1,8 +1,7 @@
 // Conversions between the decisions' structs and the messages between hosts.
 #pragma once
 
-#include "decisions/leadership.h"
-#include "decisions/planner.h"
+#include "decisions/exchange.h"
 #include "generated/assignment.pb.h"
 #include "generated/peer.pb.h"
 
@@ -29,10 +28,11 @@
 auto toWire(const consent_reply &reply) -> wire::ConsentReply;
 auto fromWire(const wire::ConsentReply &message) -> consent_reply;
 
-auto toWire(const shard_release &release) -> wire::ShardRelease;
-auto toWire(const group_release &release) -> wire::GroupRelease;
+// Without the configuration, which travels beside the exchange.
+auto toWire(const exchange_request &request) -> wire::ExchangeRequest;
+auto fromWire(const wire::ExchangeRequest &message) -> exchange_request;
 
-// The report within an exchange.
-auto reportFromWire(const wire::ExchangeRequest &message) -> host_report;
+auto toWire(const exchange_reply &reply) -> wire::ExchangeReply;
+auto fromWire(const wire::ExchangeReply &message) -> exchange_reply;
 
 } // namespace parsleyloft
--- a/codec/configuration_codec.cpp
+++ b/codec/configuration_codec.cpp
@@ -64,7 +64,7 @@
 }
 
 auto checkService(fault_list &faults, const std::string &path, const wire::ServiceSettings &service)
-    -> void
+        -> void
 {
     checkName(faults, path + ".name", service.name());
     if (service.keyed())
--- a/codec/json.cpp
+++ b/codec/json.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 auto read(const std::string &text, google::protobuf::Message &message, bool ignoreUnknown)
-    -> result<void>
+        -> result<void>
 {
     json::JsonParseOptions options;
     options.ignore_unknown_fields = ignoreUnknown;
--- a/codec/json.h
+++ b/codec/json.h
@@ -11,12 +11,12 @@
 enum class json_layout { Compact, Indented };
 
 inline constexpr name_table<json_layout, 2> jsonLayoutNames{{
-    {json_layout::Compact, "compact"},
-    {json_layout::Indented, "indented"},
+        {json_layout::Compact, "compact"},
+        {json_layout::Indented, "indented"},
 }};
 
 auto toJson(const google::protobuf::Message &message, json_layout layout = json_layout::Compact)
-    -> std::string;
+        -> std::string;
 
 // Reads a message. Unknown fields are errors. Fails with InvalidInput.
 auto readJson(const std::string &text, google::protobuf::Message &message) -> result<void>;
--- a/command/exit_code.h
+++ b/command/exit_code.h
@@ -19,13 +19,13 @@
 };
 
 inline constexpr name_table<exit_code, 7> exitCodeNames{{
-    {exit_code::Success, "success"},
-    {exit_code::Failed, "failed"},
-    {exit_code::Usage, "usage"},
-    {exit_code::Unreachable, "unreachable"},
-    {exit_code::Conflict, "conflict"},
-    {exit_code::NotFound, "not_found"},
-    {exit_code::Unknown, "unknown"},
+        {exit_code::Success, "success"},
+        {exit_code::Failed, "failed"},
+        {exit_code::Usage, "usage"},
+        {exit_code::Unreachable, "unreachable"},
+        {exit_code::Conflict, "conflict"},
+        {exit_code::NotFound, "not_found"},
+        {exit_code::Unknown, "unknown"},
 }};
 
 } // namespace parsleyloft
--- a/command/main.cpp
+++ b/command/main.cpp
@@ -7,14 +7,14 @@
 {
     using namespace parsleyloft;
     const std::vector<subcommand> known{
-        {"serve", "run an entry host's daemon", runServe},
-        {"check", "check a settings file and print what is in force", runCheck},
-        {"class", "set, remove or list classes of work", runClass},
-        {"domain", "take failure domains out of service and in", runDomain},
-        {"host", "take hosts and backend servers out of service and in", runHost},
-        {"status", "who owns what, and which class misses its target", runStatus},
-        {"dump", "the whole state of one process", runDump},
-        {"call", "send one request as a caller", runCall},
+            {"serve", "run an entry host's daemon", runServe},
+            {"check", "check a settings file and print what is in force", runCheck},
+            {"class", "set, remove or list classes of work", runClass},
+            {"domain", "take failure domains out of service and in", runDomain},
+            {"host", "take hosts and backend servers out of service and in", runHost},
+            {"status", "who owns what, and which class misses its target", runStatus},
+            {"dump", "the whole state of one process", runDump},
+            {"call", "send one request as a caller", runCall},
     };
     return static_cast<int>(runSubcommand("parsleyloft", known, count, values));
 }
--- a/command/operator_command.cpp
+++ b/command/operator_command.cpp
@@ -38,7 +38,7 @@
     known.add_options()("name", options::value(&common.name)->default_value(""), "on what");
     known.add_options()("revision",
                         options::value<std::uint64_t>()->notifier(
-                            [&common](std::uint64_t value) { common.revision = value; }),
+                                [&common](std::uint64_t value) { common.revision = value; }),
                         "refuse the change when the configuration is not at this revision");
 }
 
@@ -86,7 +86,7 @@
 }
 
 auto listConfiguration(const common_options &common, void (*print)(const wire::Configuration &))
-    -> exit_code
+        -> exit_code
 {
     wire::Configuration present;
     const auto read = fetch(common.at, "/v1/configuration", present);
--- a/command/subcommand.cpp
+++ b/command/subcommand.cpp
@@ -44,7 +44,7 @@
     // The library reports wrong options by exceptions; they end here as exit codes.
     try {
         const auto parsed =
-            options::command_line_parser(rest).options(known).positional(positional).run();
+                options::command_line_parser(rest).options(known).positional(positional).run();
         options::store(parsed, values);
         if (values.count("help") > 0) {
             std::cout << known;
--- a/command/tables.cpp
+++ b/command/tables.cpp
@@ -41,7 +41,7 @@
 {
     for (const auto &group : dump.table().groups()) {
         const auto same = group.service() == server.service()
-            && group.failure_domain() == server.failure_domain();
+                && group.failure_domain() == server.failure_domain();
         if (same && group.phase() == wire::ASSIGNMENT_PHASE_HELD)
             return group.holder();
     }
@@ -60,7 +60,7 @@
     std::string why;
     if (refused > work.max_refused_permille())
         why = "refused more than " + std::to_string(work.max_refused_permille())
-            + " in 1000, last for " + counts.last_refusal();
+                + " in 1000, last for " + counts.last_refusal();
     else if (counts.late() * 100 > requests)
         why = "more than 1 in 100 waited longer than " + std::to_string(work.max_wait_ms()) + " ms";
     status.set_on_target(why.empty());
--- a/core/error.h
+++ b/core/error.h
@@ -20,13 +20,13 @@
 };
 
 inline constexpr name_table<error_code, 7> errorCodeNames{{
-    {error_code::InvalidInput, "invalid_input"},
-    {error_code::NotFound, "not_found"},
-    {error_code::Conflict, "conflict"},
-    {error_code::Unreachable, "unreachable"},
-    {error_code::TimedOut, "timed_out"},
-    {error_code::Unknown, "unknown"},
-    {error_code::NotLeader, "not_leader"},
+        {error_code::InvalidInput, "invalid_input"},
+        {error_code::NotFound, "not_found"},
+        {error_code::Conflict, "conflict"},
+        {error_code::Unreachable, "unreachable"},
+        {error_code::TimedOut, "timed_out"},
+        {error_code::Unknown, "unknown"},
+        {error_code::NotLeader, "not_leader"},
 }};
 
 struct error
--- a/core/names.h
+++ b/core/names.h
@@ -21,7 +21,7 @@
 // Returns the name of a value, or "invalid" for a value outside the table.
 template<typename enumeration, std::size_t count>
 constexpr auto nameIn(const name_table<enumeration, count> &table, enumeration value)
-    -> std::string_view
+        -> std::string_view
 {
     for (const auto &entry : table) {
         if (entry.value == value)
@@ -32,7 +32,7 @@
 
 template<typename enumeration, std::size_t count>
 constexpr auto valueIn(const name_table<enumeration, count> &table, std::string_view name)
-    -> std::optional<enumeration>
+        -> std::optional<enumeration>
 {
     for (const auto &entry : table) {
         if (entry.name == name)
--- a/core/outcome.h
+++ b/core/outcome.h
@@ -18,9 +18,9 @@
 };
 
 inline constexpr name_table<outcome, 3> outcomeNames{{
-    {outcome::Answered, "answered"},
-    {outcome::NotRun, "not_run"},
-    {outcome::Unknown, "unknown"},
+        {outcome::Answered, "answered"},
+        {outcome::NotRun, "not_run"},
+        {outcome::Unknown, "unknown"},
 }};
 
 enum class reason : std::uint8_t {
@@ -48,27 +48,27 @@
 };
 
 inline constexpr name_table<reason, 21> reasonNames{{
-    {reason::None, "none"},
-    {reason::BadRequest, "bad_request"},
-    {reason::UnknownClass, "unknown_class"},
-    {reason::MissingKey, "missing_key"},
-    {reason::MissingRequestId, "missing_request_id"},
-    {reason::TooLarge, "too_large"},
-    {reason::Draining, "draining"},
-    {reason::QueueFull, "queue_full"},
-    {reason::WaitTooLong, "wait_too_long"},
-    {reason::ShedForOthers, "shed_for_others"},
-    {reason::NoServer, "no_server"},
-    {reason::NoOwner, "no_owner"},
-    {reason::WrongHolder, "wrong_holder"},
-    {reason::HolderUnreachable, "holder_unreachable"},
-    {reason::DeadlinePassed, "deadline_passed"},
-    {reason::ServerRefused, "server_refused"},
-    {reason::ServerFailed, "server_failed"},
-    {reason::AnswerMismatch, "answer_mismatch"},
-    {reason::HostLost, "host_lost"},
-    {reason::HistoryLost, "history_lost"},
-    {reason::AlreadyRunning, "already_running"},
+        {reason::None, "none"},
+        {reason::BadRequest, "bad_request"},
+        {reason::UnknownClass, "unknown_class"},
+        {reason::MissingKey, "missing_key"},
+        {reason::MissingRequestId, "missing_request_id"},
+        {reason::TooLarge, "too_large"},
+        {reason::Draining, "draining"},
+        {reason::QueueFull, "queue_full"},
+        {reason::WaitTooLong, "wait_too_long"},
+        {reason::ShedForOthers, "shed_for_others"},
+        {reason::NoServer, "no_server"},
+        {reason::NoOwner, "no_owner"},
+        {reason::WrongHolder, "wrong_holder"},
+        {reason::HolderUnreachable, "holder_unreachable"},
+        {reason::DeadlinePassed, "deadline_passed"},
+        {reason::ServerRefused, "server_refused"},
+        {reason::ServerFailed, "server_failed"},
+        {reason::AnswerMismatch, "answer_mismatch"},
+        {reason::HostLost, "host_lost"},
+        {reason::HistoryLost, "history_lost"},
+        {reason::AlreadyRunning, "already_running"},
 }};
 
 // The end of one request. A body stands only beside Answered.
--- a/daemon/attempt.cpp
+++ b/daemon/attempt.cpp
@@ -70,7 +70,7 @@
 
 // Frees the server's slot. Called with the group locked.
 auto freeSlot(group_table &table, const attempt &one, attempt_result result, duration latency)
-    -> void
+        -> void
 {
     finish(table.queue, one.server, result, latency);
     --table.running;
@@ -83,7 +83,7 @@
 
 // Notes the end of an attempt. Returns the verdict when it is the request's own.
 auto settle(group_table &table, pending_request &request, const attempt_end &end)
-    -> std::optional<verdict>
+        -> std::optional<verdict>
 {
     --request.attempts;
     if (end.told.result == outcome::Unknown)
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -99,7 +99,7 @@
 }
 
 auto storeRead(daemon_process &daemon, const std::string &key, store_callback<store_value> done)
-    -> void
+        -> void
 {
     auto withCount = counted<store_value>(daemon, std::move(done));
     if (isCutFromPlatform(daemon))
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "decisions/configuration_change.h"
+#include "decisions/exchange.h"
 #include "decisions/group_queue.h"
 #include "decisions/leadership.h"
 #include "decisions/planner.h"
@@ -53,23 +54,10 @@
 {
     std::mutex lock;
     // All guarded by lock.
-    leadership_state state;
-    planner_state planner;
-    // The table that hosts may have, as the leader gave it out.
-    assignment_table given;
+    region_state region;
     leader_writes writes;
-    // The stamp to return to the leader that this host promised to support.
-    std::int64_t echoedStampUs = 0;
-    // Where to look for the leader.
-    host_id leaderHint;
-    bool tableWanted = false;
-    // When a leader last gave its word, by any host's answer.
-    instant lastLeaderWord{};
     // No second candidacy by the key-value service before this instant.
     instant nextRecovery{};
-    // The term that the planner works in.
-    term plannedTerm;
-    instant plannedSince{};
     std::set<host_id> leavingHosts;
 };
 
@@ -223,7 +211,7 @@
 
 // Calls on the key-value service, counted, and refused while the link is cut.
 auto storeRead(daemon_process &daemon, const std::string &key, store_callback<store_value> done)
-    -> void;
+        -> void;
 auto storeWrite(daemon_process &daemon, const std::string &key, const std::string &value,
                 std::uint64_t index, store_callback<void> done) -> void;
 auto storeHostList(daemon_process &daemon, store_callback<host_list> done) -> void;
--- a/daemon/dispatch.cpp
+++ b/daemon/dispatch.cpp
@@ -15,7 +15,7 @@
 {
     const auto *service = findService(daemon.services, group.service);
     return request.work.mayRepeat && service != nullptr && !service->keyed
-        && group.domain == daemon.self.domain;
+            && group.domain == daemon.self.domain;
 }
 
 // Called with the holdings locked.
@@ -26,7 +26,7 @@
     if (request.owner.empty()) {
         const auto lapsed = now >= state.leaseEnds;
         return mayUseGroup(state, group, now)
-            || (lapsed && mayContinueIdempotent(daemon, group, request));
+                || (lapsed && mayContinueIdempotent(daemon, group, request));
     }
     const shard_id shard{group.service, request.shard};
     const auto *present = findShard(state.table, shard);
@@ -42,7 +42,7 @@
 
 // Called with the group locked.
 auto admit(group_table &table, const shared_request &request, bool repeated, instant now)
-    -> admission
+        -> admission
 {
     if (!request->work.mayRepeat) {
         const auto known = beginOnce(table.history, request->id, repeated, now);
@@ -51,7 +51,7 @@
     }
     const auto number = table.nextTicket++;
     const queued_request queued{
-        number, request->work.name, request->owner, request->shard, now, request->deadline, {}};
+            number, request->work.name, request->owner, request->shard, now, request->deadline, {}};
     const auto offered = offer(table.queue, queued, request->work.maxRefusedPermille, now);
     if (!offered.admitted) {
         if (!request->work.mayRepeat)
@@ -69,7 +69,7 @@
 }
 
 auto watchDeadline(daemon_process &daemon, const group_id &group, group_table &table, instant now)
-    -> void
+        -> void
 {
     auto next = instant::max();
     for (const auto &[owner, lane] : table.queue.lanes) {
@@ -93,7 +93,7 @@
 }
 
 auto takeRequests(group_table &table, const std::vector<ticket> &tickets)
-    -> std::vector<shared_request>
+        -> std::vector<shared_request>
 {
     std::vector<shared_request> taken;
     for (const auto number : tickets) {
--- a/daemon/dispatch.h
+++ b/daemon/dispatch.h
@@ -18,6 +18,6 @@
 
 // Removes the given tickets from a group's table. Called with the group locked.
 auto takeRequests(group_table &table, const std::vector<ticket> &tickets)
-    -> std::vector<shared_request>;
+        -> std::vector<shared_request>;
 
 } // namespace parsleyloft
--- a/daemon/dump.cpp
+++ b/daemon/dump.cpp
@@ -11,10 +11,10 @@
 auto addLeadership(daemon_process &daemon, wire::Dump &dump) -> void
 {
     const std::lock_guard guard(daemon.leadership.lock);
-    const auto &state = daemon.leadership.state;
+    const auto &state = daemon.leadership.region.leadership;
     dump.set_role(std::string(nameIn(leadershipRoleNames, state.role)));
     const auto leads = state.role == leadership_role::Leader;
-    dump.set_leader(leads ? daemon.self.id : daemon.leadership.leaderHint);
+    dump.set_leader(leads ? daemon.self.id : daemon.leadership.region.leaderHint);
     dump.set_licensed(isLicensed(state, monotonicNow()));
     *dump.mutable_record() = toWire(state.record);
 }
--- a/daemon/election.cpp
+++ b/daemon/election.cpp
@@ -2,6 +2,7 @@
 #include "daemon/election.h"
 
 #include "codec/assignment_codec.h"
+#include "decisions/candidacy.h"
 #include "telemetry/event_log.h"
 
 namespace parsleyloft {
@@ -10,11 +11,6 @@
 
 constexpr duration consentTimeout = 300ms;
 
-// A host that is no member, or whose members don't answer, tries the key-value service
-// after so long without a leader.
-constexpr duration recoveryTimeout = 3s;
-constexpr duration recoveryPause = 1500ms;
-
 auto parseRecord(const std::string &value) -> member_record
 {
     wire::MemberRecord message;
@@ -35,7 +31,7 @@
 auto takeConsent(daemon_process &daemon, const wire::ConsentReply &reply) -> void
 {
     const std::lock_guard guard(daemon.leadership.lock);
-    auto &state = daemon.leadership.state;
+    auto &state = daemon.leadership.region.leadership;
     if (countConsent(state, fromWire(reply), monotonicNow()))
         noteElected(daemon, state);
 }
@@ -64,7 +60,7 @@
     std::optional<consent_request> request;
     {
         const std::lock_guard guard(daemon.leadership.lock);
-        auto &state = daemon.leadership.state;
+        auto &state = daemon.leadership.region.leadership;
         const auto now = monotonicNow();
         request = standAsCandidate(state, now, generation);
         if (!request)
@@ -76,36 +72,25 @@
     askMembers(daemon, *request);
 }
 
-// A record that is there is replaced only when no leader was heard of for long, and a
-// majority of the member hosts answers, so that the attempt can succeed.
-auto maySupplant(daemon_process &daemon, const leadership_state &state) -> bool
+auto heardOf(daemon_process &daemon) -> std::map<host_id, instant>
 {
-    const auto now = monotonicNow();
-    if (now < daemon.leadership.lastLeaderWord + recoveryTimeout)
-        return false;
-    std::size_t answering = 0;
     const std::lock_guard guard(daemon.hosts.lock);
-    for (const auto &one : state.record.members) {
-        const auto found = daemon.hosts.heard.find(one.host);
-        const auto recent =
-            found != daemon.hosts.heard.end() && now < found->second + recoveryTimeout;
-        if (one.host == state.self || recent)
-            ++answering;
-    }
-    return answering > state.record.members.size() / 2;
+    return daemon.hosts.heard;
 }
 
 auto recoverFrom(daemon_process &daemon, const store_value &stored) -> void
 {
     const auto wanted = currentConfiguration(daemon);
+    const auto heard = heardOf(daemon);
     member_record next;
     {
         const std::lock_guard guard(daemon.leadership.lock);
-        auto &state = daemon.leadership.state;
+        auto &state = daemon.leadership.region.leadership;
         if (stored.index != 0)
             learnRecord(state, parseRecord(stored.value));
         state.recordRead = true;
-        if (stored.index != 0 && !maySupplant(daemon, state))
+        auto &region = daemon.leadership.region;
+        if (stored.index != 0 && !maySupplant(region, heard, stored.index, monotonicNow()))
             return;
         auto out = wanted.hostsOut;
         out.insert(wanted.domainsOut.begin(), wanted.domainsOut.end());
@@ -118,7 +103,7 @@
                        return;
                    {
                        const std::lock_guard guard(daemon.leadership.lock);
-                       learnRecord(daemon.leadership.state, next);
+                       learnRecord(daemon.leadership.region.leadership, next);
                    }
                    stand(daemon, next.givenIn.generation);
                });
@@ -136,40 +121,33 @@
 
 auto electIfDue(daemon_process &daemon) -> void
 {
-    auto byStore = false;
+    if (daemon.draining)
+        return;
+    auto way = candidacy::None;
     {
         const std::lock_guard guard(daemon.leadership.lock);
         auto &table = daemon.leadership;
         const auto now = monotonicNow();
-        if (daemon.draining || !electionDue(table.state, now))
-            return;
-        const auto member = isMember(table.state.record, table.state.self, table.state.start);
-        const auto silent = now >= table.lastLeaderWord + recoveryTimeout;
-        const auto fresh = table.state.record.version == 0;
-        byStore = !member || (silent && now >= table.nextRecovery);
-        if (byStore && !(fresh || silent))
-            return;
-        if (byStore && now < table.nextRecovery)
-            return;
-        if (byStore)
-            table.nextRecovery = now + recoveryPause;
+        way = chooseCandidacy(table.region, table.nextRecovery, now);
+        if (way == candidacy::ByStore)
+            table.nextRecovery = now + recoveryPause(table.region);
     }
-    if (byStore)
+    if (way == candidacy::ByStore)
         recoverByStore(daemon);
-    else
+    if (way == candidacy::ByBallot)
         stand(daemon, std::nullopt);
 }
 
 auto answerConsentRequest(daemon_process &daemon, const wire::ConsentRequest &request)
-    -> wire::ConsentReply
+        -> wire::ConsentReply
 {
     const std::lock_guard guard(daemon.leadership.lock);
     auto &table = daemon.leadership;
-    const auto wasLeader = table.state.role == leadership_role::Leader;
-    const auto reply = answerConsent(table.state, fromWire(request), monotonicNow());
+    const auto wasLeader = table.region.leadership.role == leadership_role::Leader;
+    const auto reply = answerConsent(table.region.leadership, fromWire(request), monotonicNow());
     if (reply.granted) {
-        table.leaderHint = request.candidate();
-        table.echoedStampUs = 0;
+        table.region.leaderHint = request.candidate();
+        table.region.echoedStamp.reset();
         if (wasLeader)
             setLeading(daemon.counters, false);
     }
@@ -182,13 +160,13 @@
         if (!ended)
             return;
         const std::lock_guard guard(daemon.leadership.lock);
-        auto &state = daemon.leadership.state;
+        auto &state = daemon.leadership.region.leadership;
         state.recordRead = true;
         if (ended->index == 0)
             return;
         learnRecord(state, parseRecord(ended->value));
-        if (daemon.leadership.leaderHint.empty())
-            daemon.leadership.leaderHint = state.record.leader;
+        if (daemon.leadership.region.leaderHint.empty())
+            daemon.leadership.region.leaderHint = state.record.leader;
     });
 }
 
--- a/daemon/election.h
+++ b/daemon/election.h
@@ -9,7 +9,7 @@
 auto electIfDue(daemon_process &daemon) -> void;
 
 auto answerConsentRequest(daemon_process &daemon, const wire::ConsentRequest &request)
-    -> wire::ConsentReply;
+        -> wire::ConsentReply;
 
 // Reads the member record, so that this process may consent to recoveries.
 auto readRecord(daemon_process &daemon) -> void;
--- a/daemon/entry.cpp
+++ b/daemon/entry.cpp
@@ -84,7 +84,7 @@
 }
 
 auto noteHint(daemon_process &daemon, const group_id &group, std::uint32_t queued, bool failed)
-    -> void
+        -> void
 {
     const std::lock_guard guard(daemon.holdings.lock);
     auto &hint = daemon.holdings.hints[group];
@@ -95,7 +95,7 @@
 auto maySpill(const entry_state &entry, const verdict &told) -> bool
 {
     const auto full = told.why == reason::QueueFull || told.why == reason::WaitTooLong
-        || told.why == reason::ShedForOthers;
+            || told.why == reason::ShedForOthers;
     return told.result == outcome::NotRun && full && entry.spills < maxSpills;
 }
 
@@ -175,7 +175,7 @@
 }
 
 auto sendToHolder(daemon_process &daemon, const shared_entry &entry, const route_target &target)
-    -> void
+        -> void
 {
     const auto address = addressOfPeer(daemon, target.holder);
     if (address.empty() || isCutFrom(daemon, target.holder)) {
@@ -226,7 +226,7 @@
     auto &target = *found.target;
     // A host that is cut off sends idempotent work without keys itself.
     const auto alone = found.lapsed && target.owner.empty() && entry->work.mayRepeat
-        && target.group.domain == daemon.self.domain;
+            && target.group.domain == daemon.self.domain;
     if (alone && entry->lastReason == reason::HolderUnreachable)
         target.holder = daemon.self.id;
     if (target.holder == daemon.self.id)
@@ -237,7 +237,7 @@
 
 // The class of a request, or why it can't be taken.
 auto checkRequest(daemon_process &daemon, const caller_request &request)
-    -> tl::expected<class_of_work, reason>
+        -> tl::expected<class_of_work, reason>
 {
     const auto wanted = currentConfiguration(daemon);
     const auto found = wanted.classes.find(request.className);
@@ -269,7 +269,7 @@
 }
 
 auto toReply(daemon_process &daemon, const group_id &group, const verdict &told)
-    -> wire::ForwardReply
+        -> wire::ForwardReply
 {
     wire::ForwardReply reply;
     reply.set_outcome(static_cast<std::uint32_t>(told.result));
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -14,6 +14,6 @@
 
 // Answers another host, or this host itself when it leads.
 auto answerExchange(daemon_process &daemon, const wire::ExchangeRequest &request)
-    -> wire::ExchangeReply;
+        -> wire::ExchangeReply;
 
 } // namespace parsleyloft
--- a/daemon/grants.cpp
+++ b/daemon/grants.cpp
@@ -77,7 +77,7 @@
     for (const auto &release : shardsToGrant(state, server, now)) {
         const auto running = table.runningPerShard.contains(release.shard.index);
         const auto leaving =
-            isReleasingShard(state, release.shard, now) && !isReleasingGroup(state, group, now);
+                isReleasingShard(state, release.shard, now) && !isReleasingGroup(state, group, now);
         if (leaving && !running)
             ended.push_back(release.shard);
     }
@@ -90,13 +90,14 @@
     auto &state = daemon.holdings.state;
     auto &grant = daemon.holdings.grants[server.id];
     grant_errand errand{
-        server.id, group, parseEndpoint(server.address).value_or(endpoint{}), {}, {}};
+            server.id, group, parseEndpoint(server.address).value_or(endpoint{}), {}, {}};
     *errand.message.mutable_group_epoch() = toWire(state.table.groups[group].given);
     const auto until = nextGrantEnd(grant, state.leaseEnds, state.limits);
     if (!until)
         return errand;
     errand.message.set_until_us(*until);
     errand.message.set_server_start(grant.start);
+    errand.message.set_sequence(grant.sequence);
     errand.dropped = endedShards(state, table, group, server.id, now);
     for (const auto &release : shardsToGrant(state, server.id, now)) {
         const auto dropped = std::find(errand.dropped.begin(), errand.dropped.end(), release.shard);
@@ -117,7 +118,7 @@
 // Work that waits for shards on their way out goes back to its entry hosts.
 auto takeLeavingWork(daemon_process &daemon, group_table &table, const group_id &group,
                      const std::vector<server_info> &servers, instant now)
-    -> std::vector<shared_request>
+        -> std::vector<shared_request>
 {
     auto &state = daemon.holdings.state;
     const auto *service = findService(daemon.services, group.service);
@@ -137,14 +138,25 @@
     return taken;
 }
 
+auto holdsGroup(const holdings_state &state, const group_id &group, instant now) -> bool
+{
+    return mayUseGroup(state, group, now) || isReleasingGroup(state, group, now);
+}
+
 // Releases what a lost server held once its grants have ended.
-auto noteLostServers(daemon_process &daemon, group_table &table,
+auto noteLostServers(daemon_process &daemon, group_table &table, const group_id &group,
                      const std::vector<server_info> &servers, instant now)
-    -> std::vector<shared_request>
+        -> std::vector<shared_request>
 {
     std::vector<shared_request> taken;
+    const auto &state = daemon.holdings.state;
+    const auto *held = holdsGroup(state, group, now) ? &state.table.groups.at(group) : nullptr;
     for (const auto &server : servers) {
         auto &grant = daemon.holdings.grants[server.id];
+        if (held && grant.groupEpoch != held->given) {
+            takeOverGrants(grant, held->given, daemon.limits, now);
+            daemon.holdings.lostServers.erase(server.id);
+        }
         const auto found = table.queue.servers.find(server.id);
         if (found != table.queue.servers.end())
             markUnreachable(found->second, grant.lost);
@@ -157,11 +169,6 @@
     return taken;
 }
 
-auto holdsGroup(const holdings_state &state, const group_id &group, instant now) -> bool
-{
-    return mayUseGroup(state, group, now) || isReleasingGroup(state, group, now);
-}
-
 auto workOn(daemon_process &daemon, const group_id &group) -> group_work
 {
     const auto table = groupTable(daemon, group);
@@ -175,7 +182,7 @@
     group_work work;
     if (wasSending || table->sending) {
         work.passedBack = takeLeavingWork(daemon, *table, group, servers, now);
-        append(work.passedBack, noteLostServers(daemon, *table, servers, now));
+        append(work.passedBack, noteLostServers(daemon, *table, group, servers, now));
     }
     if (!table->sending)
         return work;
@@ -206,7 +213,7 @@
 }
 
 auto takeAnswer(daemon_process &daemon, const grant_errand &errand, const wire::GrantReply &reply)
-    -> void
+        -> void
 {
     auto answer = grant_answer::Renewed;
     auto released = false;
@@ -250,8 +257,8 @@
              [&daemon, errand = std::move(errand)](const http_outcome &ended) {
                  wire::GrantReply reply;
                  const auto answered = ended.failure == http_failure::None
-                     && ended.response.status == 200
-                     && readForeignJson(ended.response.body, reply).has_value();
+                         && ended.response.status == 200
+                         && readForeignJson(ended.response.body, reply).has_value();
                  if (answered)
                      takeAnswer(daemon, errand, reply);
                  else
--- a/daemon/http_api.cpp
+++ b/daemon/http_api.cpp
@@ -157,7 +157,7 @@
 }
 
 auto handleClassChange(daemon_process &daemon, const http_request &request, http_respond respond)
-    -> void
+        -> void
 {
     const auto name = std::string(pathOf(request.target).substr(classPrefix.size()));
     if (request.method == "DELETE") {
@@ -194,8 +194,8 @@
 auto handleHealth(daemon_process &daemon) -> http_response
 {
     const auto wanted = currentConfiguration(daemon);
-    const auto out =
-        wanted.domainsOut.contains(daemon.self.domain) || wanted.hostsOut.contains(daemon.self.id);
+    const auto out = wanted.domainsOut.contains(daemon.self.domain)
+            || wanted.hostsOut.contains(daemon.self.id);
     http_response response;
     response.status = daemon.draining || out ? 503 : 200;
     response.body = daemon.draining ? "draining\n" : out ? "out of service\n" : "serving\n";
--- a/daemon/leader.cpp
+++ b/daemon/leader.cpp
@@ -18,16 +18,8 @@
 // True while the host still leads in the term in which it began something.
 auto stillLeads(const leadership_table &table, term in) -> bool
 {
-    return table.state.role == leadership_role::Leader && table.state.highest == in;
-}
-
-auto beginLeading(leadership_table &table, instant now) -> void
-{
-    beginTerm(table.planner, table.state.highest);
-    table.plannedTerm = table.state.highest;
-    table.plannedSince = now;
-    table.writes = {};
-    table.tableWanted = false;
+    return table.region.leadership.role == leadership_role::Leader
+            && table.region.leadership.highest == in;
 }
 
 auto takeStoredTable(daemon_process &daemon, term in, const result<store_value> &ended) -> void
@@ -46,15 +38,15 @@
     if (ended->index == 0 || !message.ParseFromString(ended->value))
         return;
     const auto stored = fromWire(message);
-    meetTerm(table.state, stored.givenIn);
+    meetTerm(table.region.leadership, stored.givenIn);
     if (stored.givenIn < in) {
-        const auto version = table.planner.table.version;
-        mergeNewer(table.planner.table, stored);
-        table.planner.table.version = version;
+        const auto version = table.region.planner.table.version;
+        mergeNewer(table.region.planner.table, stored);
+        table.region.planner.table.version = version;
         return;
     }
     // An earlier write of this term whose answer was lost has taken effect.
-    if (stored == table.given)
+    if (stored == table.region.given)
         table.writes.tableBehind = false;
 }
 
@@ -67,7 +59,7 @@
 
 auto giveOut(leadership_table &table, const assignment_table &next, bool stored) -> void
 {
-    table.given = next;
+    table.region.given = next;
     table.writes.tableBehind = !stored;
     logEvent(log_level::Debug, "table_given",
              {{"term", toString(next.givenIn)}, {"version", std::to_string(next.version)}});
@@ -97,7 +89,7 @@
 // Writes the table and gives it out after. While the key-value service is down it is
 // given out at once: the holders' reports stand in for the write.
 auto writeTable(daemon_process &daemon, leadership_table &table, const assignment_table &next)
-    -> task
+        -> task
 {
     if (!daemon.storeReachable)
         giveOut(table, next, false);
@@ -106,9 +98,10 @@
     table.writes.tableBusy = true;
     const auto index = *table.writes.tableIndex;
     return [&daemon, next, index] {
-        storeWrite(
-            daemon, tableKey(daemon), toWire(next).SerializeAsString(), index,
-            [&daemon, next](const result<void> &ended) { finishTableWrite(daemon, next, ended); });
+        storeWrite(daemon, tableKey(daemon), toWire(next).SerializeAsString(), index,
+                   [&daemon, next](const result<void> &ended) {
+                       finishTableWrite(daemon, next, ended);
+                   });
     };
 }
 
@@ -118,34 +111,34 @@
         return {};
     if (!table.writes.tableIndex && now >= table.writes.nextTableTry) {
         table.writes.tableBusy = true;
-        return [&daemon, in = table.state.highest] { readTable(daemon, in); };
+        return [&daemon, in = table.region.leadership.highest] { readTable(daemon, in); };
     }
-    const auto next = nextToGiveOut(table.planner, table.given);
+    const auto next = nextToGiveOut(table.region.planner, table.region.given);
     if (next && (table.writes.tableIndex || !daemon.storeReachable))
         return writeTable(daemon, table, *next);
     if (!next && table.writes.tableBehind && now >= table.writes.nextTableTry)
-        return writeTable(daemon, table, table.given);
+        return writeTable(daemon, table, table.region.given);
     return {};
 }
 
 auto liveHosts(const leadership_table &table, const configuration &wanted, instant now)
-    -> std::vector<live_host>
+        -> std::vector<live_host>
 {
     std::vector<live_host> hosts;
-    for (const auto &[id, host] : table.planner.hosts) {
-        const auto info = table.planner.table.hosts.find(id);
-        if (info == table.planner.table.hosts.end())
+    for (const auto &[id, host] : table.region.planner.hosts) {
+        const auto info = table.region.planner.table.hosts.find(id);
+        if (info == table.region.planner.table.hosts.end())
             continue;
-        const auto member = isMember(table.state.record, id, host.start);
-        const auto alive =
-            isAlive(table.planner, id, now) || (member && now < host.lastSeen + memberLossTimeout);
+        const auto member = isMember(table.region.leadership.record, id, host.start);
+        const auto alive = isAlive(table.region.planner, id, now)
+                || (member && now < host.lastSeen + memberLossTimeout);
         const auto leaving =
-            host.draining || wanted.hostsOut.contains(id) || table.leavingHosts.contains(id);
+                host.draining || wanted.hostsOut.contains(id) || table.leavingHosts.contains(id);
         hosts.push_back({{id, host.start, info->second.domain}, alive, leaving});
     }
-    for (const auto &one : table.state.record.members) {
-        const auto heard = table.planner.hosts.contains(one.host);
-        if (!heard && now >= table.plannedSince + memberLossTimeout)
+    for (const auto &one : table.region.leadership.record.members) {
+        const auto heard = table.region.planner.hosts.contains(one.host);
+        if (!heard && now >= table.region.plannedSince + memberLossTimeout)
             hosts.push_back({one, false, false});
     }
     return hosts;
@@ -164,8 +157,8 @@
         table.writes.nextRecordTry = monotonicNow() + retryPause;
         return;
     }
-    table.state.record = next;
-    table.state.pendingRecord.reset();
+    table.region.leadership.record = next;
+    table.region.leadership.pendingRecord.reset();
     logEvent(log_level::Info, "members_changed",
              {{"version", std::to_string(next.version)},
               {"members", std::to_string(next.members.size())}});
@@ -182,18 +175,18 @@
         table.writes.nextRecordTry = monotonicNow() + retryPause;
         return;
     }
-    table.state.recordRead = true;
+    table.region.leadership.recordRead = true;
     table.writes.recordIndex = ended->index;
     wire::MemberRecord message;
     if (ended->index == 0 || !message.ParseFromString(ended->value))
         return;
     const auto stored = fromWire(message);
-    meetTerm(table.state, stored.givenIn);
-    if (stored.version > table.state.record.version)
-        table.state.record = stored;
-    const auto &pending = table.state.pendingRecord;
+    meetTerm(table.region.leadership, stored.givenIn);
+    if (stored.version > table.region.leadership.record.version)
+        table.region.leadership.record = stored;
+    const auto &pending = table.region.leadership.pendingRecord;
     if (pending && stored.version >= pending->version)
-        table.state.pendingRecord.reset();
+        table.region.leadership.pendingRecord.reset();
 }
 
 auto recordWork(daemon_process &daemon, leadership_table &table, const configuration &wanted,
@@ -201,7 +194,7 @@
 {
     if (table.writes.recordBusy || now < table.writes.nextRecordTry)
         return {};
-    const auto in = table.state.highest;
+    const auto in = table.region.leadership.highest;
     if (!table.writes.recordIndex) {
         table.writes.recordBusy = true;
         return [&daemon, in] {
@@ -210,12 +203,13 @@
             });
         };
     }
-    if (!table.state.pendingRecord)
-        table.state.pendingRecord = proposeRecord(table.state, liveHosts(table, wanted, now));
-    if (!table.state.pendingRecord)
+    if (!table.region.leadership.pendingRecord)
+        table.region.leadership.pendingRecord =
+                proposeRecord(table.region.leadership, liveHosts(table, wanted, now));
+    if (!table.region.leadership.pendingRecord)
         return {};
     table.writes.recordBusy = true;
-    const auto next = *table.state.pendingRecord;
+    const auto next = *table.region.leadership.pendingRecord;
     return [&daemon, next, in, index = *table.writes.recordIndex] {
         storeWrite(daemon, recordKey(daemon), toWire(next).SerializeAsString(), index,
                    [&daemon, next, in](const result<void> &ended) {
@@ -231,8 +225,8 @@
     const std::lock_guard guard(daemon.leadership.lock);
     auto &table = daemon.leadership;
     table.leavingHosts = {list.leavingHosts.begin(), list.leavingHosts.end()};
-    if (table.state.role == leadership_role::Leader)
-        takeHostList(table.planner, list.hosts, list.servers);
+    if (table.region.leadership.role == leadership_role::Leader)
+        takeHostList(table.region.planner, list.hosts, list.servers);
 }
 
 auto readPlatform(daemon_process &daemon) -> void
@@ -260,16 +254,16 @@
     {
         const std::lock_guard guard(daemon.leadership.lock);
         auto &table = daemon.leadership;
-        setLeading(daemon.counters, table.state.role == leadership_role::Leader);
-        if (table.state.role != leadership_role::Leader)
+        setLeading(daemon.counters, table.region.leadership.role == leadership_role::Leader);
+        if (table.region.leadership.role != leadership_role::Leader)
             return;
-        if (table.plannedTerm != table.state.highest)
-            beginLeading(table, now);
+        if (beginLeading(table.region, now))
+            table.writes = {};
         listDue = now >= table.writes.nextListRead;
         if (listDue)
             table.writes.nextListRead = now + listPeriod;
-        if (isLicensed(table.state, now)) {
-            planTable(table.planner, wanted, table.state.quietUntil, now);
+        if (keepLeading(table.region, now)) {
+            planTable(table.region.planner, wanted, table.region.leadership.quietUntil, now);
             writeNext = tableWork(daemon, table, now);
             recordNext = recordWork(daemon, table, wanted, now);
         }
--- a/daemon/operators.cpp
+++ b/daemon/operators.cpp
@@ -36,7 +36,7 @@
 }
 
 auto journalChange(daemon_process &daemon, const change_errand &errand, const configuration &stored)
-    -> void
+        -> void
 {
     wire::JournalEvent event;
     event.set_kind(wire::JOURNAL_KIND_ACCEPTED_CHANGE);
@@ -51,7 +51,7 @@
 }
 
 auto accept(daemon_process &daemon, const shared_change &errand, const configuration &stored)
-    -> void
+        -> void
 {
     journalChange(daemon, *errand, stored);
     adoptConfiguration(daemon, stored);
@@ -76,7 +76,7 @@
 }
 
 auto writeChange(daemon_process &daemon, const shared_change &errand, const store_value &stored)
-    -> void
+        -> void
 {
     const auto present = parseConfiguration(stored);
     if (!present) {
@@ -113,8 +113,8 @@
             postAfter(*daemon.workers, daemon.store.timeout,
                       [&daemon, errand] { tryChange(daemon, errand); });
         else
-            errand->done(
-                failure(error_code::Unreachable, "the key-value service: " + ended.error().detail));
+            errand->done(failure(error_code::Unreachable,
+                                 "the key-value service: " + ended.error().detail));
     });
 }
 
@@ -122,7 +122,7 @@
 
 auto changeConfiguration(daemon_process &daemon, const configuration_change &change,
                          std::optional<std::uint64_t> expected, store_callback<configuration> done)
-    -> void
+        -> void
 {
     auto errand = std::make_shared<change_errand>();
     errand->change = change;
--- a/daemon/operators.h
+++ b/daemon/operators.h
@@ -10,6 +10,6 @@
 // those of applyChange, Unreachable when nothing was stored, Unknown when it can't be told.
 auto changeConfiguration(daemon_process &daemon, const configuration_change &change,
                          std::optional<std::uint64_t> expected, store_callback<configuration> done)
-    -> void;
+        -> void;
 
 } // namespace parsleyloft
--- a/daemon/serve.cpp
+++ b/daemon/serve.cpp
@@ -126,10 +126,7 @@
     daemon.services = servicesFromWire(settings);
     const auto now = monotonicNow();
     const member self{daemon.self.id, daemon.start, daemon.self.domain};
-    daemon.leadership.state = newLeadership(daemon.limits, self, now);
-    daemon.leadership.lastLeaderWord = now;
-    daemon.leadership.planner.limits = daemon.limits;
-    daemon.leadership.planner.services = daemon.services;
+    daemon.leadership.region = newRegion(daemon.limits, self, daemon.services, now);
     daemon.holdings.state = newHoldings(daemon.limits, daemon.self.id);
     for (const auto &peer : settings.peers())
         learnHost(daemon, {peer.host_id(), {}, {}, peer.peer_address()});
@@ -193,10 +190,10 @@
     daemon->peerServer = std::move(*peerServer);
     const auto where = *parseEndpoint(settings.caller_address());
     auto callerServer =
-        startHttpServer(*daemon->workers, where, {settings.max_body_bytes(), 0us},
-                        [inside = daemon.get()](http_request request, http_respond respond) {
-                            handleHttp(*inside, std::move(request), std::move(respond));
-                        });
+            startHttpServer(*daemon->workers, where, {settings.max_body_bytes(), 0us},
+                            [inside = daemon.get()](http_request request, http_respond respond) {
+                                handleHttp(*inside, std::move(request), std::move(respond));
+                            });
     if (!callerServer)
         return tl::unexpected(callerServer.error());
     daemon->callerServer = std::move(*callerServer);
--- a/decisions/assignment.cpp
+++ b/decisions/assignment.cpp
@@ -52,7 +52,7 @@
 }
 
 auto findGroupOfServer(const assignment_table &table, const server_id &server)
-    -> std::optional<group_id>
+        -> std::optional<group_id>
 {
     const auto found = table.servers.find(server);
     if (found == table.servers.end())
--- a/decisions/assignment.h
+++ b/decisions/assignment.h
@@ -14,9 +14,9 @@
 enum class assignment_phase : std::uint8_t { Vacant = 0, Held = 1, Releasing = 2 };
 
 inline constexpr name_table<assignment_phase, 3> assignmentPhaseNames{{
-    {assignment_phase::Vacant, "vacant"},
-    {assignment_phase::Held, "held"},
-    {assignment_phase::Releasing, "releasing"},
+        {assignment_phase::Vacant, "vacant"},
+        {assignment_phase::Held, "held"},
+        {assignment_phase::Releasing, "releasing"},
 }};
 
 struct host_info
@@ -88,6 +88,6 @@
 
 // The group of the servers that one server belongs to, or nothing when it is not listed.
 auto findGroupOfServer(const assignment_table &table, const server_id &server)
-    -> std::optional<group_id>;
+        -> std::optional<group_id>;
 
 } // namespace parsleyloft
--- a/decisions/configuration_change.cpp
+++ b/decisions/configuration_change.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint32_t wholeInPermille = 1000;
 
 auto checkClass(const class_of_work &work, const std::vector<service_info> &services)
-    -> result<void>
+        -> result<void>
 {
     if (work.name.empty())
         return failure(error_code::InvalidInput, "name: must not be empty");
@@ -34,7 +34,7 @@
 }
 
 auto change(configuration &next, const set_class &wanted, const std::vector<service_info> &services)
-    -> result<void>
+        -> result<void>
 {
     const auto checked = checkClass(wanted.work, services);
     if (checked)
@@ -43,7 +43,7 @@
 }
 
 auto change(configuration &next, const remove_class &wanted, const std::vector<service_info> &)
-    -> result<void>
+        -> result<void>
 {
     if (next.classes.erase(wanted.name) == 0)
         return failure(error_code::NotFound, "no class '" + wanted.name + "'");
@@ -51,7 +51,7 @@
 }
 
 auto change(configuration &next, const set_domain &wanted, const std::vector<service_info> &)
-    -> result<void>
+        -> result<void>
 {
     if (wanted.domain.empty())
         return failure(error_code::InvalidInput, "domain: must not be empty");
@@ -60,7 +60,7 @@
 }
 
 auto change(configuration &next, const set_host &wanted, const std::vector<service_info> &)
-    -> result<void>
+        -> result<void>
 {
     if (wanted.host.empty())
         return failure(error_code::InvalidInput, "host: must not be empty");
@@ -72,14 +72,14 @@
 
 auto applyChange(const configuration &current, const configuration_change &wanted,
                  std::optional<std::uint64_t> expected, const std::vector<service_info> &services)
-    -> result<configuration>
+        -> result<configuration>
 {
     if (expected && *expected != current.revision)
         return failure(error_code::Conflict,
                        "the current revision is " + std::to_string(current.revision));
     auto next = current;
     const auto changed =
-        std::visit([&](const auto &one) { return change(next, one, services); }, wanted);
+            std::visit([&](const auto &one) { return change(next, one, services); }, wanted);
     if (!changed)
         return tl::unexpected(changed.error());
     ++next.revision;
--- a/decisions/configuration_change.h
+++ b/decisions/configuration_change.h
@@ -37,7 +37,7 @@
 // revision, and with InvalidInput or NotFound when the change makes no sense.
 auto applyChange(const configuration &current, const configuration_change &change,
                  std::optional<std::uint64_t> expected, const std::vector<service_info> &services)
-    -> result<configuration>;
+        -> result<configuration>;
 
 // Takes a configuration that was stored. Returns true when it was newer.
 auto takeConfiguration(configuration &current, const configuration &stored) -> bool;
--- a/decisions/group_queue.cpp
+++ b/decisions/group_queue.cpp
@@ -208,7 +208,7 @@
 }
 
 auto finish(group_queue &queue, const server_id &server, attempt_result result, duration latency)
-    -> void
+        -> void
 {
     const auto found = queue.servers.find(server);
     if (found != queue.servers.end())
--- a/decisions/group_queue.h
+++ b/decisions/group_queue.h
@@ -93,7 +93,7 @@
 auto takeAll(group_queue &queue) -> std::vector<ticket>;
 
 auto finish(group_queue &queue, const server_id &server, attempt_result result, duration latency)
-    -> void;
+        -> void;
 
 // Median latency of the group's servers, zero when unknown.
 auto medianLatency(const group_queue &queue) -> duration;
--- a/decisions/holdings.cpp
+++ b/decisions/holdings.cpp
@@ -14,7 +14,7 @@
 
 // The group entry when this host holds it under an epoch that it has not released.
 auto heldGroup(const holdings_state &state, const group_id &group, instant now)
-    -> const group_assignment *
+        -> const group_assignment *
 {
     const auto found = state.table.groups.find(group);
     if (!leaseValid(state, now) || found == state.table.groups.end())
@@ -28,7 +28,7 @@
 }
 
 auto heldShard(const holdings_state &state, const shard_id &shard, instant now)
-    -> const shard_assignment *
+        -> const shard_assignment *
 {
     const auto *found = findShard(state.table, shard);
     if (found == nullptr || found->phase == assignment_phase::Vacant)
@@ -50,6 +50,80 @@
     }
 }
 
+auto releaseOtherTerms(holdings_state &state, term present) -> void
+{
+    for (const auto &[id, group] : state.table.groups) {
+        const auto own = group.holder == state.self && group.phase != assignment_phase::Vacant;
+        if (own && group.given.givenIn != present)
+            state.releasedGroups[id] = std::max(state.releasedGroups[id], group.given);
+    }
+}
+
+// Releases groups of earlier terms that this host did not hold in the table before.
+auto releaseUnknownGroups(holdings_state &state, const assignment_table &before) -> void
+{
+    for (const auto &[id, group] : state.table.groups) {
+        const auto own = group.holder == state.self && group.phase != assignment_phase::Vacant;
+        if (!own || group.given.givenIn == state.table.givenIn)
+            continue;
+        const auto known = before.groups.find(id);
+        const auto continued = known != before.groups.end() && known->second.given == group.given;
+        if (!continued)
+            state.releasedGroups[id] = std::max(state.releasedGroups[id], group.given);
+    }
+}
+
+// The same for shards, within groups that are continued from an earlier term. In a group
+// of the present term the leader has decided on every shard.
+auto releaseUnknownShards(holdings_state &state, const assignment_table &before) -> void
+{
+    for (const auto &[service, shards] : state.table.shards) {
+        for (shard_index index = 0; index < shards.size(); ++index) {
+            const auto &shard = shards[index];
+            const shard_id id{service, index};
+            const auto *known = findShard(before, id);
+            const auto continued = known != nullptr && known->given == shard.given;
+            if (continued || shard.given.givenIn == state.table.givenIn)
+                continue;
+            const auto group = findGroupOfServer(state.table, shard.owner);
+            const auto found = group ? state.table.groups.find(*group) : state.table.groups.end();
+            const auto own = found != state.table.groups.end() && found->second.holder == state.self
+                    && found->second.given.givenIn != state.table.givenIn;
+            if (own)
+                state.releasedShards[id] = std::max(state.releasedShards[id], shard.given);
+        }
+    }
+}
+
+// Puts back the entries that the host knows under a higher epoch, and groups that a new
+// leader has not heard of yet.
+auto keepHigherEpochs(assignment_table &next, const assignment_table &known) -> void
+{
+    for (const auto &[id, group] : known.groups) {
+        const auto found = next.groups.find(id);
+        const auto unheard = found == next.groups.end() && group.given.givenIn < next.givenIn;
+        const auto higher = found != next.groups.end() && group.given > found->second.given;
+        if (unheard || higher)
+            next.groups[id] = group;
+    }
+    for (const auto &[service, shards] : known.shards) {
+        auto &list = next.shards[service];
+        if (list.size() < shards.size())
+            list.resize(shards.size());
+        for (std::size_t index = 0; index < shards.size(); ++index) {
+            if (shards[index].given > list[index].given)
+                list[index] = shards[index];
+        }
+    }
+    for (const auto &[service, shards] : next.shards) {
+        for (const auto &shard : shards) {
+            const auto found = known.servers.find(shard.owner);
+            if (found != known.servers.end())
+                next.servers.insert(*found);
+        }
+    }
+}
+
 template<typename visitor>
 auto forEachShard(const assignment_table &table, visitor &&visit) -> void
 {
@@ -73,10 +147,13 @@
 {
     if (!isNewer(table, state.table))
         return false;
-    const auto first = state.table.version == 0;
+    const auto before = std::move(state.table);
     state.table = table;
-    if (first)
+    keepHigherEpochs(state.table, before);
+    if (before.version == 0)
         releaseOwnGroups(state);
+    releaseUnknownGroups(state, before);
+    releaseUnknownShards(state, before);
     std::erase_if(state.releasedShards, [&](const auto &entry) {
         const auto *present = findShard(state.table, entry.first);
         return present != nullptr && present->given > entry.second;
@@ -84,13 +161,15 @@
     return true;
 }
 
-auto renewLease(holdings_state &state, instant sentAt, duration confirmationAge, instant now)
-    -> void
+auto renewLease(holdings_state &state, const lease_word &word, instant now) -> void
 {
     noteLapse(state, now);
-    const auto ends = sentAt - confirmationAge + shortened(state.limits.grant, state.limits);
+    const auto ends = word.sentAt - word.confirmationAge
+            + shortened(state.limits.grant, state.limits);
     if (ends <= now)
         return;
+    if (!leaseValid(state, now))
+        releaseOtherTerms(state, word.ledIn);
     state.leaseEnds = std::max(state.leaseEnds, ends);
     state.lapseNoted = false;
 }
@@ -169,7 +248,7 @@
     for (const auto &[id, given] : state.releasedShards) {
         const auto *present = findShard(state.table, id);
         const auto unanswered = present != nullptr && present->given == given
-            && present->phase != assignment_phase::Vacant;
+                && present->phase != assignment_phase::Vacant;
         if (unanswered)
             open.push_back({id, given});
     }
@@ -177,7 +256,7 @@
 }
 
 auto shardsToGrant(const holdings_state &state, const server_id &server, instant now)
-    -> std::vector<shard_release>
+        -> std::vector<shard_release>
 {
     std::vector<shard_release> granted;
     forEachShard(state.table, [&](const shard_id &id, const shard_assignment &shard) {
--- a/decisions/holdings.h
+++ b/decisions/holdings.h
@@ -16,7 +16,7 @@
 {
     lease_limits limits;
     host_id self;
-    // Invariant: replaced only by a newer table.
+    // Invariant: no entry's epoch ever falls. A new leader may not know the newest yet.
     assignment_table table;
     // Invariant: every grant that this host gave to a server ends by then.
     instant leaseEnds{};
@@ -39,14 +39,28 @@
 
 auto newHoldings(lease_limits limits, host_id self) -> holdings_state;
 
-// Takes a leader's table when it is newer. Returns true when it was taken. What the first
-// table says that this host holds was given to its former process, and is released.
+// Takes a leader's table when it is newer, but for entries that this host knows under a
+// higher epoch. Returns true when it was taken.
+//
+// Epochs of earlier terms are only continued, never begun: a new leader may not have heard
+// yet that another host has had the holding since. So an entry of an earlier term that this
+// host did not hold before is released, as is all that the first table gives to it: that
+// went to its former process.
 auto takeTable(holdings_state &state, const assignment_table &table) -> bool;
 
-// Extends the lease from a leader's answer. sentAt is when this host asked, and
-// confirmationAge the age of the leader's licence when it answered.
-auto renewLease(holdings_state &state, instant sentAt, duration confirmationAge, instant now)
-    -> void;
+// A leader's word that a host's lease goes on.
+struct lease_word
+{
+    term ledIn;
+    // When this host asked.
+    instant sentAt{};
+    // Age of the confirmation of the leader's licence when it answered.
+    duration confirmationAge{};
+};
+
+// Extends the lease. Without a valid lease before, holdings of other terms are released:
+// their lease may have ended, and been given to others, without this host's knowledge.
+auto renewLease(holdings_state &state, const lease_word &word, instant now) -> void;
 
 // Releases every holding whose lease has ended. Called before each use.
 auto noteLapse(holdings_state &state, instant now) -> void;
@@ -73,6 +87,6 @@
 
 // The shards to name in a grant to a server: those held and those still ending.
 auto shardsToGrant(const holdings_state &state, const server_id &server, instant now)
-    -> std::vector<shard_release>;
+        -> std::vector<shard_release>;
 
 } // namespace parsleyloft
--- a/decisions/leadership.cpp
+++ b/decisions/leadership.cpp
@@ -36,7 +36,7 @@
 {
     if (!pastPromisesEnded(state, now))
         return false;
-    return now >= state.promisedUntil || state.supported == host;
+    return now >= state.promisedUntil || state.supported == host || state.onlyCandidate;
 }
 
 auto support(leadership_state &state, const host_id &host, term in, instant now) -> void
@@ -46,6 +46,7 @@
     state.supported = host;
     state.promisedUntil = now + lengthened(state.limits.licence, state.limits);
     state.lastWord = now;
+    state.onlyCandidate = false;
 }
 
 auto hasMajority(const member_record &record, const std::map<host_id, start_number> &consents,
@@ -63,7 +64,7 @@
 }
 
 auto confirmedBy(const leadership_state &state, const member_record &record, instant now)
-    -> std::optional<instant>
+        -> std::optional<instant>
 {
     std::vector<instant> times;
     for (const auto &one : record.members) {
@@ -84,6 +85,7 @@
 auto becomeLeader(leadership_state &state, instant now) -> void
 {
     state.role = leadership_role::Leader;
+    state.onlyCandidate = false;
     state.confirmations.clear();
     state.knownVersions.clear();
     state.pendingRecord.reset();
@@ -99,7 +101,7 @@
     for (const auto &one : state.record.members) {
         const auto found = state.knownVersions.find(one.host);
         const auto known =
-            found != state.knownVersions.end() && found->second >= state.record.version;
+                found != state.knownVersions.end() && found->second >= state.record.version;
         if (one.host == state.self || known)
             ++count;
     }
@@ -107,7 +109,7 @@
 }
 
 auto withNewStarts(const member_record &record, const std::vector<live_host> &hosts)
-    -> member_record
+        -> member_record
 {
     auto next = record;
     for (auto &one : next.members) {
@@ -136,7 +138,7 @@
 }
 
 auto withOneMore(const member_record &record, const std::vector<live_host> &hosts)
-    -> std::optional<member_record>
+        -> std::optional<member_record>
 {
     if (record.members.size() >= maxMembers)
         return std::nullopt;
@@ -147,8 +149,8 @@
     for (const auto &host : hosts) {
         if (!host.alive || host.leaving || findMember(record, host.identity.host) != nullptr)
             continue;
-        const auto fewer =
-            best == nullptr || perDomain[host.identity.domain] < perDomain[best->identity.domain];
+        const auto fewer = best == nullptr
+                || perDomain[host.identity.domain] < perDomain[best->identity.domain];
         if (fewer)
             best = &host;
     }
@@ -198,19 +200,20 @@
 }
 
 auto standAsCandidate(leadership_state &state, instant now, std::optional<std::uint32_t> generation)
-    -> std::optional<consent_request>
+        -> std::optional<consent_request>
 {
     if (!freeToSupport(state, state.self, now))
         return std::nullopt;
     const auto byBallot = !generation.has_value();
     if (byBallot && !isMember(state.record, state.self, state.start))
         return std::nullopt;
-    const auto asked =
-        byBallot ? term{state.highest.generation, state.highest.ballot + 1} : term{*generation, 0};
+    const auto asked = byBallot ? term{state.highest.generation, state.highest.ballot + 1}
+                                : term{*generation, 0};
     if (asked < state.highest || asked <= state.consented)
         return std::nullopt;
     support(state, state.self, asked, now);
     state.role = leadership_role::Candidate;
+    state.onlyCandidate = true;
     state.asked = now;
     state.consents.clear();
     state.consents[state.self] = state.start;
@@ -218,7 +221,7 @@
 }
 
 auto answerConsent(leadership_state &state, const consent_request &request, instant now)
-    -> consent_reply
+        -> consent_reply
 {
     auto reply = consent_reply{state.self, state.start, false, state.highest, state.record};
     const auto current = request.record.version >= state.record.version;
@@ -271,7 +274,7 @@
         return false;
     }
     const auto same = ledIn == state.highest && state.supported == leader;
-    if (!same && now < state.promisedUntil)
+    if (!same && !freeToSupport(state, leader, now))
         return false;
     support(state, leader, ledIn, now);
     state.role = leadership_role::Follower;
@@ -281,8 +284,12 @@
 auto countConfirmation(leadership_state &state, const host_id &host, start_number start,
                        instant stamp, std::uint64_t knownVersion) -> void
 {
-    const auto counted = isMember(state.record, host, start)
-        || (state.pendingRecord && isMember(*state.pendingRecord, host, start));
+    // A process that consented in this very term remembers its promises, whether or not
+    // the record has its start number already.
+    const auto consent = state.consents.find(host);
+    const auto consented = consent != state.consents.end() && consent->second == start;
+    const auto counted = consented || isMember(state.record, host, start)
+            || (state.pendingRecord && isMember(*state.pendingRecord, host, start));
     if (state.role != leadership_role::Leader)
         return;
     auto &known = state.knownVersions[host];
@@ -312,20 +319,36 @@
     return confirmed && now < *confirmed + shortened(state.limits.licence, state.limits);
 }
 
+auto promiseOneself(leadership_state &state, instant now) -> void
+{
+    state.promisedUntil = now + lengthened(state.limits.licence, state.limits);
+}
+
+auto resignIfStale(leadership_state &state, instant now) -> void
+{
+    if (state.role != leadership_role::Leader)
+        return;
+    const auto confirmed = licenceConfirmedAt(state, now);
+    const auto since = confirmed ? *confirmed : state.asked;
+    if (now < since + state.limits.licence + state.limits.electionTimeout)
+        return;
+    state.role = leadership_role::Follower;
+    state.lastWord = now;
+}
+
 auto meetTerm(leadership_state &state, term seen) -> void
 {
     if (seen <= state.highest)
         return;
     state.highest = seen;
-    if (state.role == leadership_role::Follower)
-        return;
-    state.role = leadership_role::Follower;
     // The former leader stands again at once: its members are bound to it alone.
-    state.lastWord = instant{};
+    if (state.role == leadership_role::Leader)
+        state.lastWord = instant{};
+    state.role = leadership_role::Follower;
 }
 
 auto proposeRecord(const leadership_state &state, const std::vector<live_host> &hosts)
-    -> std::optional<member_record>
+        -> std::optional<member_record>
 {
     if (state.role != leadership_role::Leader || state.pendingRecord)
         return std::nullopt;
@@ -348,7 +371,7 @@
 }
 
 auto recoveryRecord(const leadership_state &state, const std::set<std::string> &out)
-    -> member_record
+        -> member_record
 {
     auto next = state.record;
     next.version = state.record.version + 1;
--- a/decisions/leadership.h
+++ b/decisions/leadership.h
@@ -21,9 +21,9 @@
 enum class leadership_role { Follower, Candidate, Leader };
 
 inline constexpr name_table<leadership_role, 3> leadershipRoleNames{{
-    {leadership_role::Follower, "follower"},
-    {leadership_role::Candidate, "candidate"},
-    {leadership_role::Leader, "leader"},
+        {leadership_role::Follower, "follower"},
+        {leadership_role::Candidate, "candidate"},
+        {leadership_role::Leader, "leader"},
 }};
 
 struct member
@@ -67,6 +67,9 @@
     host_id supported;
     // Invariant: before this instant no host but the supported one gets a promise.
     instant promisedUntil{};
+    // True while the promise is to this host itself and it has not led under it. Nothing
+    // rests on such a promise, so it may be broken.
+    bool onlyCandidate = false;
     instant lastWord{};
     leadership_role role = leadership_role::Follower;
     // Candidate and leader: when consent was asked, and who gave it under which start.
@@ -116,17 +119,17 @@
 // Stands as candidate. With a generation from the key-value service the term starts it;
 // otherwise the ballot rises. Returns nothing while an own promise to another host holds.
 auto standAsCandidate(leadership_state &state, instant now, std::optional<std::uint32_t> generation)
-    -> std::optional<consent_request>;
+        -> std::optional<consent_request>;
 
 auto answerConsent(leadership_state &state, const consent_request &request, instant now)
-    -> consent_reply;
+        -> consent_reply;
 
 // Counts a consent. Returns true when this one made the candidate leader.
 auto countConsent(leadership_state &state, const consent_reply &reply, instant now) -> bool;
 
 // A follower's answer to a licensed leader's word: true when it now promises support.
 auto promiseSupport(leadership_state &state, const host_id &leader, term ledIn, instant now)
-    -> bool;
+        -> bool;
 
 // Counts the return of one of this leader's stamps by a member.
 auto countConfirmation(leadership_state &state, const host_id &host, start_number start,
@@ -137,17 +140,23 @@
 
 auto isLicensed(const leadership_state &state, instant now) -> bool;
 
+// The leader's own promise, on which each lease that it gives rests beside the members'.
+auto promiseOneself(leadership_state &state, instant now) -> void;
+
+// A leader without a licence for long gives up, so that it looks for another.
+auto resignIfStale(leadership_state &state, instant now) -> void;
+
 // A leader that meets a higher term asks for consent again, above it; others only note it.
 auto meetTerm(leadership_state &state, term seen) -> void;
 
 // The next member record a leader wants, if any: one change of host ids at a time, and
 // none before a majority knows the present record.
 auto proposeRecord(const leadership_state &state, const std::vector<live_host> &hosts)
-    -> std::optional<member_record>;
+        -> std::optional<member_record>;
 
 // The first record of a new region, or one with a new generation for a region whose
 // members all restarted. Hosts that operators took out are left behind.
 auto recoveryRecord(const leadership_state &state, const std::set<std::string> &out)
-    -> member_record;
+        -> member_record;
 
 } // namespace parsleyloft
--- a/decisions/planner.cpp
+++ b/decisions/planner.cpp
@@ -40,7 +40,7 @@
     if (found == work.state.hosts.end() || !isAlive(work.state, host.id, work.now))
         return false;
     return found->second.merged && !found->second.draining
-        && !work.wanted.hostsOut.contains(host.id);
+            && !work.wanted.hostsOut.contains(host.id);
 }
 
 auto mayOwn(const plan &work, const server_info &server) -> bool
@@ -85,7 +85,7 @@
     return best;
 }
 
-// After a loss the last owner's epochs are unknown for certain, so all are raised.
+// With a new holder all epochs are raised: after a loss the newest may be unknown here.
 auto raiseShardEpochs(plan &work, const group_id &group) -> void
 {
     const auto found = work.next.shards.find(group.service);
@@ -107,6 +107,7 @@
     if (host == nullptr)
         return;
     group = {host->id, nextEpoch(work), assignment_phase::Held};
+    raiseShardEpochs(work, id);
 }
 
 auto wantsOtherHolder(const plan &work, const group_id &id, const group_assignment &group) -> bool
@@ -121,27 +122,24 @@
     const auto count = groupsPerHost(work);
     const auto bestCount = count.contains(best->id) ? count.at(best->id) : 0;
     const auto uneven =
-        best->domain == known->second.domain && count.at(group.holder) >= bestCount + 2;
+            best->domain == known->second.domain && count.at(group.holder) >= bestCount + 2;
     return abroad || uneven;
 }
 
 auto planGroup(plan &work, const group_id &id) -> void
 {
     auto &group = work.next.groups[id];
-    const auto handedBack = work.state.handedBackGroups.contains(id)
-        && work.now >= work.state.hosts[group.holder].leaseFrom;
+    // While older leases run, an epoch that is handed back may not be the newest.
+    const auto handedBack = work.now >= work.quietUntil && work.state.handedBackGroups.contains(id)
+            && work.now >= work.state.hosts[group.holder].leaseFrom;
     if (group.phase == assignment_phase::Vacant) {
         if (work.now >= work.quietUntil)
             assignGroup(work, id, group);
         return;
     }
     if (handedBack) {
-        // A lapsed holder hands back without having finished; raise to be safe.
-        const auto lapsed = group.phase == assignment_phase::Held;
         group.phase = assignment_phase::Vacant;
         assignGroup(work, id, group);
-        if (lapsed)
-            raiseShardEpochs(work, id);
         return;
     }
     if (!isAlive(work.state, group.holder, work.now)) {
@@ -149,7 +147,6 @@
             return;
         group.phase = assignment_phase::Vacant;
         assignGroup(work, id, group);
-        raiseShardEpochs(work, id);
         return;
     }
     if (group.phase == assignment_phase::Held && work.now >= work.quietUntil
@@ -222,10 +219,10 @@
     if (loads.size() < 2)
         return;
     auto &shards = work.next.shards[service.name];
-    auto moving =
-        static_cast<std::size_t>(std::count_if(shards.begin(), shards.end(), [](const auto &shard) {
-            return shard.phase == assignment_phase::Releasing;
-        }));
+    auto moving = static_cast<std::size_t>(
+            std::count_if(shards.begin(), shards.end(), [](const auto &shard) {
+                return shard.phase == assignment_phase::Releasing;
+            }));
     while (moving < maxBalancingShards) {
         const auto [least, most] = std::minmax_element(loads.begin(), loads.end(), byShards);
         if (most->shards < least->shards + moving + 2)
@@ -256,8 +253,9 @@
 {
     std::erase_if(table.groups, [&](const auto &entry) {
         const auto used =
-            std::any_of(table.servers.begin(), table.servers.end(),
-                        [&](const auto &server) { return groupOf(server.second) == entry.first; });
+                std::any_of(table.servers.begin(), table.servers.end(), [&](const auto &server) {
+                    return groupOf(server.second) == entry.first;
+                });
         return !used && entry.second.phase == assignment_phase::Vacant;
     });
 }
@@ -266,6 +264,9 @@
 
 auto beginTerm(planner_state &state, term ledIn) -> void
 {
+    // What is held is learned from the hosts and the store, not from earlier plans.
+    state.table.groups.clear();
+    state.table.shards.clear();
     state.table.givenIn = ledIn;
     state.table.version = 1;
     state.nextSequence = 1;
@@ -289,7 +290,7 @@
     for (const auto &release : report.releasedGroups) {
         const auto found = state.table.groups.find(release.group);
         const auto current = found != state.table.groups.end()
-            && found->second.holder == report.host.id && found->second.given == release.given;
+                && found->second.holder == report.host.id && found->second.given == release.given;
         if (current)
             state.handedBackGroups.insert(release.group);
     }
@@ -297,7 +298,7 @@
         const auto *found = findShard(state.table, release.shard);
         if (found != nullptr && found->given == release.given)
             state.table.shards[release.shard.service][release.shard.index].phase =
-                assignment_phase::Vacant;
+                    assignment_phase::Vacant;
     }
     for (const auto &[server, reachable] : report.serverReachable) {
         if (reachable)
@@ -327,6 +328,7 @@
 {
     auto &bound = state.hosts[host].leaseBound;
     bound = std::max(bound, confirmedAt + lengthened(state.limits.grant, state.limits));
+    state.latestLeaseBound = std::max(state.latestLeaseBound, bound);
 }
 
 auto takeHostList(planner_state &state, std::vector<host_info> hosts,
@@ -358,7 +360,7 @@
 }
 
 auto planTable(planner_state &state, const configuration &wanted, instant quietUntil, instant now)
-    -> void
+        -> void
 {
     plan work{state, wanted, quietUntil, now, state.table};
     planGroups(work);
@@ -371,7 +373,7 @@
 }
 
 auto nextToGiveOut(planner_state &state, const assignment_table &given)
-    -> std::optional<assignment_table>
+        -> std::optional<assignment_table>
 {
     auto comparable = state.table;
     comparable.version = given.version;
--- a/decisions/planner.h
+++ b/decisions/planner.h
@@ -41,6 +41,8 @@
     assignment_table table;
     std::uint64_t nextSequence = 1;
     std::map<host_id, host_view> hosts;
+    // Invariant: every lease that this process gave, in any term, ends by then.
+    instant latestLeaseBound{};
     std::set<server_id> unreachable;
     std::set<group_id> handedBackGroups;
 };
@@ -56,14 +58,14 @@
     std::map<server_id, bool> serverReachable;
 };
 
-// Starts a term: keeps the table, and forgets what hosts were seen to hold.
+// Starts a term with an empty table, but for the hosts and servers that are known.
 auto beginTerm(planner_state &state, term ledIn) -> void;
 
 auto takeReport(planner_state &state, const host_report &report, instant now) -> void;
 
 // Merges the table that a host held at the beginning of the term.
 auto takeHeldTable(planner_state &state, const host_id &host, const assignment_table &table)
-    -> void;
+        -> void;
 
 // True when the host may be given a lease now.
 auto mayLease(const planner_state &state, const host_id &host, instant now) -> bool;
@@ -80,11 +82,11 @@
 // Brings the working table towards what is wanted. quietUntil is the end of the time in
 // which leases of earlier leaders may still run.
 auto planTable(planner_state &state, const configuration &wanted, instant quietUntil, instant now)
-    -> void;
+        -> void;
 
 // A copy of the working table to give out, with a new version, when it differs from the
 // one given out last.
 auto nextToGiveOut(planner_state &state, const assignment_table &given)
-    -> std::optional<assignment_table>;
+        -> std::optional<assignment_table>;
 
 } // namespace parsleyloft
--- a/decisions/request_history.cpp
+++ b/decisions/request_history.cpp
@@ -4,7 +4,7 @@
 namespace parsleyloft {
 
 auto beginOnce(request_history &history, const request_id &id, bool repeated, instant now)
-    -> std::optional<verdict>
+        -> std::optional<verdict>
 {
     dropOld(history, now);
     const auto known = history.entries.find(id);
--- a/decisions/request_history.h
+++ b/decisions/request_history.h
@@ -31,7 +31,7 @@
 // What to do with a request: run it, or answer with the verdict at once.
 // repeated is set when the caller says that it sent the request before.
 auto beginOnce(request_history &history, const request_id &id, bool repeated, instant now)
-    -> std::optional<verdict>;
+        -> std::optional<verdict>;
 
 // Notes the end. One that is known not to have run may be sent again.
 auto endOnce(request_history &history, const request_id &id, const verdict &ended) -> void;
--- a/decisions/retry.cpp
+++ b/decisions/retry.cpp
@@ -47,7 +47,7 @@
 }
 
 auto afterAttempt(const verdict &ended, bool mayRepeat, retry_budget &budget, duration remaining)
-    -> next_step
+        -> next_step
 {
     if (ended.result == outcome::Answered || remaining < leastTime)
         return next_step::Finish;
@@ -55,7 +55,7 @@
         return next_step::RouteAgain;
     const auto safe = mayRepeat || ended.result == outcome::NotRun;
     const auto worthwhile = ended.why == reason::ServerRefused || ended.why == reason::ServerFailed
-        || ended.why == reason::AnswerMismatch || ended.why == reason::HostLost;
+            || ended.why == reason::AnswerMismatch || ended.why == reason::HostLost;
     if (safe && worthwhile && spendRetry(budget))
         return next_step::Repeat;
     return next_step::Finish;
--- a/decisions/routing.cpp
+++ b/decisions/routing.cpp
@@ -37,7 +37,7 @@
                        [&](const auto &entry) {
                            const auto &server = entry.second;
                            return groupOf(server) == group && !server.leaving
-                               && !view.wanted.hostsOut.contains(server.id);
+                                   && !view.wanted.hostsOut.contains(server.id);
                        });
 }
 
@@ -48,7 +48,7 @@
     if (hint == view.hints.end())
         return abroad;
     const auto failed =
-        hint->second.failedAt != instant{} && now < hint->second.failedAt + failurePause;
+            hint->second.failedAt != instant{} && now < hint->second.failedAt + failurePause;
     return abroad + hint->second.queued + (failed ? 1'000'000 : 0);
 }
 
@@ -78,7 +78,7 @@
 } // namespace
 
 auto findService(const std::vector<service_info> &services, const service_name &name)
-    -> const service_info *
+        -> const service_info *
 {
     for (const auto &service : services) {
         if (service.name == name)
@@ -88,7 +88,7 @@
 }
 
 auto chooseTarget(const routing_view &view, const route_request &request, instant now)
-    -> tl::expected<route_target, reason>
+        -> tl::expected<route_target, reason>
 {
     const auto *service = findService(view.services, request.work.service);
     if (service == nullptr)
--- a/decisions/routing.h
+++ b/decisions/routing.h
@@ -43,10 +43,10 @@
 };
 
 auto findService(const std::vector<service_info> &services, const service_name &name)
-    -> const service_info *;
+        -> const service_info *;
 
 // Chooses a target, or says why there is none.
 auto chooseTarget(const routing_view &view, const route_request &request, instant now)
-    -> tl::expected<route_target, reason>;
+        -> tl::expected<route_target, reason>;
 
 } // namespace parsleyloft
--- a/decisions/server_grant.cpp
+++ b/decisions/server_grant.cpp
@@ -12,14 +12,25 @@
 
 } // namespace
 
+auto takeOverGrants(server_grant_state &state, const epoch &groupEpoch, const lease_limits &limits,
+                    instant now) -> void
+{
+    if (state.groupEpoch == groupEpoch)
+        return;
+    state = {};
+    state.groupEpoch = groupEpoch;
+    state.endsBy = now + lengthened(limits.grant, limits);
+}
+
 auto nextGrantEnd(server_grant_state &state, instant leaseEnds, const lease_limits &limits)
-    -> std::optional<std::int64_t>
+        -> std::optional<std::int64_t>
 {
     if (!state.clockKnown || state.lost)
         return std::nullopt;
     const auto left = leaseEnds - state.readAt;
     if (left <= duration::zero())
         return std::nullopt;
+    ++state.sequence;
     state.endsBy = std::max(state.endsBy, leaseEnds);
     return state.serverClock + shortened(left, limits).count();
 }
--- a/decisions/server_grant.h
+++ b/decisions/server_grant.h
@@ -14,30 +14,40 @@
 
 struct server_grant_state
 {
+    // The epoch of the group under which this host grants.
+    epoch groupEpoch;
     // The server's clock at its last answer, and when the answer came.
     std::int64_t serverClock = 0;
     instant readAt{};
     bool clockKnown = false;
     start_number start = 0;
     std::uint32_t failures = 0;
+    // Rises with each grant sent, so that the server can refuse one that was overtaken.
+    std::uint64_t sequence = 0;
     // True from the loss of the server until it answers after all its grants have ended.
     bool lost = false;
-    // Invariant: every grant sent to the server ends by then, on this host's clock.
+    // Invariant: every grant sent to the server, by this host or by the group's holder
+    // before it, ends by then on this host's clock.
     instant endsBy{};
 };
 
 enum class grant_answer { Renewed, Restarted, Returned };
 
 inline constexpr name_table<grant_answer, 3> grantAnswerNames{{
-    {grant_answer::Renewed, "renewed"},
-    {grant_answer::Restarted, "restarted"},
-    {grant_answer::Returned, "returned"},
+        {grant_answer::Renewed, "renewed"},
+        {grant_answer::Restarted, "restarted"},
+        {grant_answer::Returned, "returned"},
 }};
 
+// Starts over when the group was given to this host anew: the grants of the holder before
+// it may still run.
+auto takeOverGrants(server_grant_state &state, const epoch &groupEpoch, const lease_limits &limits,
+                    instant now) -> void;
+
 // The end of the next grant on the server's clock, or nothing while no clock reading is
-// known or the server is lost. Notes that the grant will be sent.
+// known or the server is lost. Notes that the grant will be sent, under a new sequence.
 auto nextGrantEnd(server_grant_state &state, instant leaseEnds, const lease_limits &limits)
-    -> std::optional<std::int64_t>;
+        -> std::optional<std::int64_t>;
 
 auto noteGrantAnswer(server_grant_state &state, std::int64_t serverClock, start_number start,
                      instant now) -> grant_answer;
--- a/decisions/server_limit.cpp
+++ b/decisions/server_limit.cpp
@@ -75,7 +75,7 @@
 }
 
 auto noteEnd(server_load &server, attempt_result result, duration latency, duration peerLatency)
-    -> void
+        -> void
 {
     server.running -= std::min<std::uint32_t>(server.running, 1);
     if (result == attempt_result::Refused) {
@@ -85,7 +85,7 @@
     if (result == attempt_result::Failed)
         return;
     server.latency =
-        server.samples == 0 ? latency : server.latency + (latency - server.latency) / smoothing;
+            server.samples == 0 ? latency : server.latency + (latency - server.latency) / smoothing;
     ++server.samples;
     earnLimit(server);
     judgeLatency(server, latency, peerLatency);
--- a/decisions/server_limit.h
+++ b/decisions/server_limit.h
@@ -19,18 +19,18 @@
 };
 
 inline constexpr name_table<server_phase, 4> serverPhaseNames{{
-    {server_phase::Cold, "cold"},
-    {server_phase::Normal, "normal"},
-    {server_phase::Straggling, "straggling"},
-    {server_phase::Unreachable, "unreachable"},
+        {server_phase::Cold, "cold"},
+        {server_phase::Normal, "normal"},
+        {server_phase::Straggling, "straggling"},
+        {server_phase::Unreachable, "unreachable"},
 }};
 
 enum class attempt_result { Answered, Refused, Failed };
 
 inline constexpr name_table<attempt_result, 3> attemptResultNames{{
-    {attempt_result::Answered, "answered"},
-    {attempt_result::Refused, "refused"},
-    {attempt_result::Failed, "failed"},
+        {attempt_result::Answered, "answered"},
+        {attempt_result::Refused, "refused"},
+        {attempt_result::Failed, "failed"},
 }};
 
 struct server_load
@@ -57,7 +57,7 @@
 // Takes in the end of a request. peerLatency is the median of the server's peers, zero
 // when unknown.
 auto noteEnd(server_load &server, attempt_result result, duration latency, duration peerLatency)
-    -> void;
+        -> void;
 
 // Starts over with the least load: the server restarted, or turned cold without warning.
 auto turnCold(server_load &server) -> void;
--- a/lab/auditor.cpp
+++ b/lab/auditor.cpp
@@ -52,8 +52,8 @@
 auto describe(const string_key &shard, const holding &one) -> std::string
 {
     return shard.first + "/" + std::to_string(shard.second) + " at " + one.server + " under "
-        + toString(one.given) + " from " + std::to_string(one.from) + " until "
-        + std::to_string(one.until);
+            + toString(one.given) + " from " + std::to_string(one.from) + " until "
+            + std::to_string(one.until);
 }
 
 auto extendHolding(std::vector<holding> &list, const wire::JournalEvent &event) -> void
@@ -111,7 +111,7 @@
 
 // Work of a shard that starts at one server while another holds the shard.
 auto checkRunsAtOwner(const event_list &events, const holdings &all, wire::AuditReport &report)
-    -> void
+        -> void
 {
     for (const auto &event : events) {
         const auto found = all.find(shardOf(event));
@@ -263,7 +263,7 @@
             continue;
         for (const auto &one : found->second) {
             const auto during = one.from <= event.at_us()
-                && (one.until == 0 || event.at_us() <= one.until + leaveLimit.count());
+                    && (one.until == 0 || event.at_us() <= one.until + leaveLimit.count());
             if (during)
                 addBreach(report, invariant::GracefulStop, describe(event));
         }
@@ -286,7 +286,7 @@
 };
 
 auto checkRevisionsRise(const event_list &events, wire::AuditReport &report)
-    -> std::map<std::string, host_revisions>
+        -> std::map<std::string, host_revisions>
 {
     std::map<std::string, host_revisions> hosts;
     std::map<std::uint64_t, std::string> digests;
--- a/lab/auditor.h
+++ b/lab/auditor.h
@@ -22,16 +22,16 @@
 };
 
 inline constexpr name_table<invariant, 10> invariantNames{{
-    {invariant::OneOwner, "one_owner"},
-    {invariant::AssignmentsSurvive, "assignments_survive"},
-    {invariant::ColdStart, "cold_start"},
-    {invariant::DomainOut, "domain_out"},
-    {invariant::OwnAnswer, "own_answer"},
-    {invariant::NotRunIsTrue, "not_run_is_true"},
-    {invariant::AtMostOnce, "at_most_once"},
-    {invariant::LeavingServer, "leaving_server"},
-    {invariant::GracefulStop, "graceful_stop"},
-    {invariant::ConfigurationHolds, "configuration_holds"},
+        {invariant::OneOwner, "one_owner"},
+        {invariant::AssignmentsSurvive, "assignments_survive"},
+        {invariant::ColdStart, "cold_start"},
+        {invariant::DomainOut, "domain_out"},
+        {invariant::OwnAnswer, "own_answer"},
+        {invariant::NotRunIsTrue, "not_run_is_true"},
+        {invariant::AtMostOnce, "at_most_once"},
+        {invariant::LeavingServer, "leaving_server"},
+        {invariant::GracefulStop, "graceful_stop"},
+        {invariant::ConfigurationHolds, "configuration_holds"},
 }};
 
 using event_list = std::vector<wire::JournalEvent>;
--- a/lab/backend_stand_in.cpp
+++ b/lab/backend_stand_in.cpp
@@ -26,6 +26,7 @@
 struct held_grant
 {
     epoch groupEpoch;
+    std::uint64_t sequence = 0;
     instant until{};
     std::map<shard_index, epoch> shards;
 };
@@ -139,10 +140,15 @@
     const auto given = fromWire(message.group_epoch());
     if (given < state.grant.groupEpoch)
         return false;
+    const auto overtaken =
+            given == state.grant.groupEpoch && message.sequence() <= state.grant.sequence;
+    if (overtaken)
+        return false;
     const auto until = fromMicroseconds(message.until_us());
     if (message.server_start() != state.start || until <= now)
         return false;
     state.grant.groupEpoch = given;
+    state.grant.sequence = message.sequence();
     state.grant.until = std::max(state.grant.until, until);
     holdShards(state, message, now);
     return true;
@@ -186,7 +192,7 @@
     noteExpiry(state, now);
     const auto held = state.grant.shards.find(static_cast<shard_index>(std::stoul(shard)));
     return held != state.grant.shards.end()
-        && toString(held->second) == headerOf(request.headers, "Epoch");
+            && toString(held->second) == headerOf(request.headers, "Epoch");
 }
 
 auto deadlinePassed(const http_request &request, instant now) -> bool
@@ -197,7 +203,7 @@
 
 // Why the request isn't run, if so.
 auto refuse(backend_state &state, const http_request &request, instant now)
-    -> std::optional<http_response>
+        -> std::optional<http_response>
 {
     if (state.draining)
         return refusal(503, "draining");
@@ -224,7 +230,7 @@
 }
 
 auto runEvent(const backend_state &state, const http_request &request, wire::JournalKind kind)
-    -> wire::JournalEvent
+        -> wire::JournalEvent
 {
     wire::JournalEvent event;
     event.set_kind(kind);
@@ -249,7 +255,7 @@
     std::lognormal_distribution<double> draw(-spread * spread / 2, spread);
     const auto slowdown = 1.0 + state.faults.slowdown_permille() / 1000.0;
     return duration(
-        std::llround(static_cast<double>(mean.count()) * draw(state.random) * slowdown));
+            std::llround(static_cast<double>(mean.count()) * draw(state.random) * slowdown));
 }
 
 // Two answers that change places, each on the other's connection.
@@ -354,7 +360,7 @@
 }
 
 auto handle(const shared_backend &state, const http_request &request, const http_respond &respond)
-    -> void
+        -> void
 {
     const std::lock_guard guard(state->lock);
     const auto path = pathOf(request.target);
@@ -389,18 +395,18 @@
     known.add_options()("journal", library::value(&options.journalPath), "file for events");
     known.add_options()("service-time-us",
                         library::value<std::int64_t>()->notifier(
-                            [&](auto value) { options.serviceTime = duration(value); }),
+                                [&](auto value) { options.serviceTime = duration(value); }),
                         "mean service time");
     known.add_options()("connection-cost-us",
                         library::value<std::int64_t>()->notifier(
-                            [&](auto value) { options.connectionCost = duration(value); }),
+                                [&](auto value) { options.connectionCost = duration(value); }),
                         "time that a new connection takes");
 }
 
 } // namespace
 
 auto startBackend(worker_pool &pool, const endpoint &at, const backend_options &options)
-    -> result<backend_stand_in>
+        -> result<backend_stand_in>
 {
     auto state = std::make_shared<backend_state>();
     state->pool = &pool;
@@ -414,10 +420,10 @@
     state->events = std::move(*events);
     constexpr std::size_t bodyLimit = 1024 * 1024;
     auto server =
-        startHttpServer(pool, at, {bodyLimit, options.connectionCost},
-                        [state](const http_request &request, const http_respond &respond) {
-                            handle(state, request, respond);
-                        });
+            startHttpServer(pool, at, {bodyLimit, options.connectionCost},
+                            [state](const http_request &request, const http_respond &respond) {
+                                handle(state, request, respond);
+                            });
     if (!server)
         return tl::unexpected(server.error());
     state->server = std::move(*server);
--- a/lab/backend_stand_in.h
+++ b/lab/backend_stand_in.h
@@ -32,7 +32,7 @@
 };
 
 auto startBackend(worker_pool &pool, const endpoint &at, const backend_options &options)
-    -> result<backend_stand_in>;
+        -> result<backend_stand_in>;
 
 auto runBackend(const arguments &rest) -> exit_code;
 
--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -25,8 +25,8 @@
 
 auto domainOf(const wire::Deployment &deployment, std::uint32_t index) -> std::string
 {
-    return deployment.failure_domains(
-        static_cast<int>(index % static_cast<std::uint32_t>(deployment.failure_domains_size())));
+    return deployment.failure_domains(static_cast<int>(
+            index % static_cast<std::uint32_t>(deployment.failure_domains_size())));
 }
 
 auto toSettings(const wire::DeployedService &service) -> wire::ServiceSettings
@@ -74,7 +74,7 @@
 
 auto planBackend(const wire::Deployment &deployment, const wire::DeployedService &service,
                  std::uint32_t index, const std::string &directory, port_source &ports)
-    -> planned_backend
+        -> planned_backend
 {
     const auto id = service.name() + "-" + std::to_string(index + 1);
     const auto domain = domainOf(deployment, index);
@@ -102,7 +102,7 @@
     for (const auto &part : deployment.load()) {
         mix += mix.empty() ? "" : ",";
         mix += part.class_name() + ":" + std::to_string(part.per_second()) + ":"
-            + std::to_string(part.keys());
+                + std::to_string(part.keys());
     }
     return mix;
 }
@@ -110,8 +110,8 @@
 auto classLine(const wire::ClassOfWork &work) -> std::string
 {
     return "set " + work.name() + " --service " + work.service() + " --max-wait-ms "
-        + std::to_string(work.max_wait_ms()) + (work.may_repeat() ? " --may-repeat" : "")
-        + " --max-refused-permille " + std::to_string(work.max_refused_permille());
+            + std::to_string(work.max_wait_ms()) + (work.may_repeat() ? " --may-repeat" : "")
+            + " --max-refused-permille " + std::to_string(work.max_refused_permille());
 }
 
 auto writeHosts(const deployment_plan &plan, const std::string &directory) -> void
@@ -119,7 +119,7 @@
     std::ofstream hosts(directory + "/hosts");
     for (const auto &host : plan.hosts) {
         std::ofstream(directory + "/" + host.host_id() + ".json")
-            << toJson(host, json_layout::Indented);
+                << toJson(host, json_layout::Indented);
         hosts << host.host_id() << " " << host.caller_address() << " " << host.failure_domain()
               << "\n";
     }
@@ -150,7 +150,7 @@
     for (std::uint32_t index = 0; index < deployment.hosts(); ++index) {
         auto host = planHost(deployment, index, directory, plan.platformAddress, ports);
         auto entry =
-            listed(host.host_id(), "parsleyloft", host.caller_address(), host.failure_domain());
+                listed(host.host_id(), "parsleyloft", host.caller_address(), host.failure_domain());
         (*entry.mutable_meta())["peer_address"] = host.peer_address();
         plan.listedHosts.push_back(std::move(entry));
         plan.callerAddresses += (index == 0 ? "" : ",") + host.caller_address();
--- a/lab/load_generator.cpp
+++ b/lab/load_generator.cpp
@@ -96,7 +96,7 @@
         const auto &rate = fields[1];
         const auto &keys = fields[2];
         const auto readRate =
-            std::from_chars(rate.data(), rate.data() + rate.size(), parsed.perSecond);
+                std::from_chars(rate.data(), rate.data() + rate.size(), parsed.perSecond);
         const auto readKeys = std::from_chars(keys.data(), keys.data() + keys.size(), parsed.keys);
         if (readRate.ec != std::errc() || readKeys.ec != std::errc() || parsed.perSecond <= 0)
             return failure(error_code::InvalidInput, "'" + part + "' is not class:rate:keys");
@@ -238,7 +238,7 @@
             const std::lock_guard guard(state.lock);
             std::exponential_distribution<double> draw(state.wanted.mix[part].perSecond);
             gap = std::chrono::duration_cast<duration>(
-                std::chrono::duration<double>(draw(state.random)));
+                    std::chrono::duration<double>(draw(state.random)));
         }
         arrive(state, part, due + gap);
     });
@@ -253,7 +253,7 @@
                  [&state, index](const http_outcome &ended) {
                      const std::lock_guard guard(state.lock);
                      state.healthy[index] =
-                         ended.failure == http_failure::None && ended.response.status == 200;
+                             ended.failure == http_failure::None && ended.response.status == 200;
                  });
     }
 }
@@ -290,7 +290,8 @@
 {
     const auto begin = monotonicNow();
     state.end = begin
-        + std::chrono::duration_cast<duration>(std::chrono::duration<double>(state.wanted.seconds));
+            + std::chrono::duration_cast<duration>(
+                        std::chrono::duration<double>(state.wanted.seconds));
     checkHealth(state);
     postEvery(*state.pool, healthPeriod, [&state] {
         checkHealth(state);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -9,11 +9,11 @@
 {
     using namespace parsleyloft;
     const std::vector<subcommand> known{
-        {"platform", "key-value service and host list", runPlatform},
-        {"backend", "a backend server that owns keys", runBackend},
-        {"plan", "write the files of a deployment", runPlan},
-        {"load", "an open-loop load of several classes", runLoad},
-        {"audit", "judge journals by the invariants", runAudit},
+            {"platform", "key-value service and host list", runPlatform},
+            {"backend", "a backend server that owns keys", runBackend},
+            {"plan", "write the files of a deployment", runPlan},
+            {"load", "an open-loop load of several classes", runLoad},
+            {"audit", "judge journals by the invariants", runAudit},
     };
     return static_cast<int>(runSubcommand("parsleyloft-lab", known, count, values));
 }
--- a/lab/platform_stand_in.cpp
+++ b/lab/platform_stand_in.cpp
@@ -171,7 +171,7 @@
 }
 
 auto writeKeyNow(platform_state &state, const std::string &key, http_request &request)
-    -> http_response
+        -> http_response
 {
     if (request.body.size() > maxValueBytes)
         return textResponse(413, "value exceeds 1 MiB");
@@ -207,7 +207,7 @@
 }
 
 auto handleKey(const shared_platform &state, http_request &request, const http_respond &respond)
-    -> void
+        -> void
 {
     const auto key = std::string(pathOf(request.target).substr(keyPrefix.size()));
     if (request.method == "PUT") {
@@ -236,8 +236,8 @@
         for (const auto &[name, value] : service.meta())
             meta += (meta.empty() ? "" : ",") + ("\"" + name + "\":\"" + value + "\"");
         text += (text.size() == 1 ? "\"" : ",\"") + id + "\":{\"ID\":\"" + id + "\",\"Service\":\""
-            + service.service() + "\",\"Address\":\"" + service.address()
-            + "\",\"Port\":" + std::to_string(service.port()) + ",\"Meta\":{" + meta + "}}";
+                + service.service() + "\",\"Address\":\"" + service.address()
+                + "\",\"Port\":" + std::to_string(service.port()) + ",\"Meta\":{" + meta + "}}";
     }
     return textResponse(200, text + "}");
 }
@@ -296,9 +296,9 @@
 {
     return textResponse(200,
                         "{\"reads\":" + std::to_string(calls.reads)
-                            + ",\"writes\":" + std::to_string(calls.writes)
-                            + ",\"watches\":" + std::to_string(calls.watches)
-                            + ",\"lists\":" + std::to_string(calls.lists) + "}");
+                                + ",\"writes\":" + std::to_string(calls.writes)
+                                + ",\"watches\":" + std::to_string(calls.watches)
+                                + ",\"lists\":" + std::to_string(calls.lists) + "}");
 }
 
 // Carries out one call of the platform's own interface. Called with the lock held.
@@ -363,7 +363,7 @@
 } // namespace
 
 auto startPlatform(worker_pool &pool, const endpoint &at, const std::string &journalPath)
-    -> result<platform_stand_in>
+        -> result<platform_stand_in>
 {
     auto state = std::make_shared<platform_state>();
     state->pool = &pool;
--- a/lab/platform_stand_in.h
+++ b/lab/platform_stand_in.h
@@ -17,7 +17,7 @@
 
 // The journal at the path notes servers that are listed as leaving. Empty for none.
 auto startPlatform(worker_pool &pool, const endpoint &at, const std::string &journalPath)
-    -> result<platform_stand_in>;
+        -> result<platform_stand_in>;
 
 auto runPlatform(const arguments &rest) -> exit_code;
 
--- a/telemetry/event_log.cpp
+++ b/telemetry/event_log.cpp
@@ -46,14 +46,14 @@
     const auto pattern = "time=%d{ISO8601} level=%p host=" + host + " %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+            layout, log4cxx::ConsoleAppender::getSystemErr());
     const auto root = log4cxx::Logger::getRootLogger();
     root->addAppender(appender);
     root->setLevel(toLibrary(least));
 }
 
 auto logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
-    -> void
+        -> void
 {
     const auto root = log4cxx::Logger::getRootLogger();
     const auto wanted = toLibrary(level);
--- a/telemetry/event_log.h
+++ b/telemetry/event_log.h
@@ -13,11 +13,11 @@
 enum class log_level { Trace, Debug, Info, Warn, Error };
 
 inline constexpr name_table<log_level, 5> logLevelNames{{
-    {log_level::Trace, "trace"},
-    {log_level::Debug, "debug"},
-    {log_level::Info, "info"},
-    {log_level::Warn, "warn"},
-    {log_level::Error, "error"},
+        {log_level::Trace, "trace"},
+        {log_level::Debug, "debug"},
+        {log_level::Info, "info"},
+        {log_level::Warn, "warn"},
+        {log_level::Error, "error"},
 }};
 
 struct log_field
@@ -31,6 +31,6 @@
 
 // Writes one event. Values with spaces or quotes are quoted.
 auto logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
-    -> void;
+        -> void;
 
 } // namespace parsleyloft
--- a/telemetry/metrics.cpp
+++ b/telemetry/metrics.cpp
@@ -25,31 +25,31 @@
 {
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests =
-        prometheus::BuildCounter()
-            .Name("parsleyloft_requests_total")
-            .Help("Requests of callers that ended at this host, by class, outcome "
-                  "and reason.")
-            .Register(registry);
+            prometheus::BuildCounter()
+                    .Name("parsleyloft_requests_total")
+                    .Help("Requests of callers that ended at this host, by class, outcome "
+                          "and reason.")
+                    .Register(registry);
     prometheus::Family<prometheus::Histogram> &waits =
-        prometheus::BuildHistogram()
-            .Name("parsleyloft_request_wait_seconds")
-            .Help("Time from a request's arrival at this host to its end, by class.")
-            .Register(registry);
+            prometheus::BuildHistogram()
+                    .Name("parsleyloft_request_wait_seconds")
+                    .Help("Time from a request's arrival at this host to its end, by class.")
+                    .Register(registry);
     prometheus::Family<prometheus::Counter> &exchanges =
-        prometheus::BuildCounter()
-            .Name("parsleyloft_exchanges_total")
-            .Help("Exchanges of state that this host began, by result.")
-            .Register(registry);
+            prometheus::BuildCounter()
+                    .Name("parsleyloft_exchanges_total")
+                    .Help("Exchanges of state that this host began, by result.")
+                    .Register(registry);
     prometheus::Family<prometheus::Counter> &storeCalls =
-        prometheus::BuildCounter()
-            .Name("parsleyloft_store_calls_total")
-            .Help("Calls on the platform's key-value service, by result.")
-            .Register(registry);
+            prometheus::BuildCounter()
+                    .Name("parsleyloft_store_calls_total")
+                    .Help("Calls on the platform's key-value service, by result.")
+                    .Register(registry);
     prometheus::Gauge &leading = prometheus::BuildGauge()
-                                     .Name("parsleyloft_leading")
-                                     .Help("1 while this host leads its region.")
-                                     .Register(registry)
-                                     .Add({});
+                                         .Name("parsleyloft_leading")
+                                         .Help("1 while this host leads its region.")
+                                         .Register(registry)
+                                         .Add({});
 };
 
 auto makeMetrics() -> metrics
@@ -63,8 +63,8 @@
     const auto outcomeName = std::string(nameIn(outcomeNames, ended.result));
     const auto reasonName = std::string(nameIn(reasonNames, ended.why));
     counters.inside->requests
-        .Add({{"class", className}, {"outcome", outcomeName}, {"reason", reasonName}})
-        .Increment();
+            .Add({{"class", className}, {"outcome", outcomeName}, {"reason", reasonName}})
+            .Increment();
     counters.inside->waits.Add({{"class", className}}, waitBuckets).Observe(toSeconds(wait));
 }
 
--- a/transport/asio_context.h
+++ b/transport/asio_context.h
@@ -17,7 +17,7 @@
 {
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{
-        context.get_executor()};
+            context.get_executor()};
     std::vector<std::thread> threads;
 };
 
--- a/transport/blocking_call.cpp
+++ b/transport/blocking_call.cpp
@@ -6,7 +6,7 @@
 namespace parsleyloft {
 
 auto callAndWait(http_client &client, const endpoint &to, http_request request, duration timeout)
-    -> http_outcome
+        -> http_outcome
 {
     auto promise = std::make_shared<std::promise<http_outcome>>();
     auto ended = promise->get_future();
--- a/transport/blocking_call.h
+++ b/transport/blocking_call.h
@@ -7,6 +7,6 @@
 
 // Not called from a worker of the client's pool.
 auto callAndWait(http_client &client, const endpoint &to, http_request request, duration timeout)
-    -> http_outcome;
+        -> http_outcome;
 
 } // namespace parsleyloft
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -174,7 +174,7 @@
     }
     auto reusable = co_await exchangeOn(*stream, message, deadline, ended);
     const auto mismatched = ended.failure == http_failure::None && !work.options.matchHeader.empty()
-        && headerOf(ended.response.headers, work.options.matchHeader) != wanted;
+            && headerOf(ended.response.headers, work.options.matchHeader) != wanted;
     if (mismatched) {
         ended.failure = http_failure::Mismatch;
         reusable = false;
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -18,11 +18,11 @@
 };
 
 inline constexpr name_table<http_failure, 5> httpFailureNames{{
-    {http_failure::None, "none"},
-    {http_failure::NotSent, "not_sent"},
-    {http_failure::Lost, "lost"},
-    {http_failure::TimedOut, "timed_out"},
-    {http_failure::Mismatch, "mismatch"},
+        {http_failure::None, "none"},
+        {http_failure::NotSent, "not_sent"},
+        {http_failure::Lost, "lost"},
+        {http_failure::TimedOut, "timed_out"},
+        {http_failure::Mismatch, "mismatch"},
 }};
 
 struct http_outcome
--- a/transport/http_message.cpp
+++ b/transport/http_message.cpp
@@ -10,8 +10,8 @@
 {
     const auto lower = [](unsigned char one) { return std::tolower(one); };
     return std::lexicographical_compare(
-        left.begin(), left.end(), right.begin(), right.end(),
-        [&](unsigned char a, unsigned char b) { return lower(a) < lower(b); });
+            left.begin(), left.end(), right.begin(), right.end(),
+            [&](unsigned char a, unsigned char b) { return lower(a) < lower(b); });
 }
 
 auto headerOf(const header_map &headers, std::string_view name) -> std::string
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -126,7 +126,7 @@
         });
     };
     co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(http_response)>(
-        start, asio::use_awaitable);
+            start, asio::use_awaitable);
 }
 
 auto refusalFor(boost::system::error_code failed) -> http_response
@@ -144,13 +144,13 @@
 auto isPeerGone(boost::system::error_code failed) -> bool
 {
     return failed == http::error::end_of_stream || failed == beast::error::timeout
-        || failed == asio::error::connection_reset || failed == http::error::partial_message
-        || failed == asio::error::operation_aborted;
+            || failed == asio::error::connection_reset || failed == http::error::partial_message
+            || failed == asio::error::operation_aborted;
 }
 
 // Writes the beginning of a response, as a failing server would.
 auto writeCutResponse(beast::tcp_stream &stream, const http_response &response)
-    -> asio::awaitable<void>
+        -> asio::awaitable<void>
 {
     if (response.status == 0)
         co_return;
@@ -166,7 +166,7 @@
 }
 
 auto writeResponse(beast::tcp_stream &stream, http_response response, bool keepAlive)
-    -> asio::awaitable<bool>
+        -> asio::awaitable<bool>
 {
     auto message = toLibrary(std::move(response), keepAlive);
     boost::system::error_code failed;
@@ -185,7 +185,7 @@
     connection.idleSince = monotonicNow();
     connection.stream.expires_after(idleLimit);
     const auto count = co_await connection.stream.async_read_some(
-        buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, failed));
+            buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, failed));
     connection.idle = false;
     buffer.commit(count);
     co_return !failed;
@@ -264,7 +264,7 @@
         boost::system::error_code failed;
         auto strand = asio::make_strand(context);
         auto socket = co_await server->acceptor.async_accept(
-            strand, asio::redirect_error(asio::use_awaitable, failed));
+                strand, asio::redirect_error(asio::use_awaitable, failed));
         if (failed == asio::error::operation_aborted)
             co_return;
         if (failed)
--- a/transport/peer_link.cpp
+++ b/transport/peer_link.cpp
@@ -19,7 +19,7 @@
 template<typename request, typename reply>
 auto answerWith(grpc::CallbackServerContext *context, const request *message, reply *answer,
                 const std::function<void(request, peer_respond<reply>)> &handler)
-    -> grpc::ServerUnaryReactor *
+        -> grpc::ServerUnaryReactor *
 {
     auto *reactor = context->DefaultReactor();
     handler(*message, [reactor, answer](reply ready) {
@@ -96,8 +96,8 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, leastReconnectMs);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, leastReconnectMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, mostReconnectMs);
-    known.channel =
-        grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
+    known.channel = grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
+                                              arguments);
     known.stub = wire::Peer::NewStub(known.channel);
     return known;
 }
@@ -170,30 +170,30 @@
                   duration timeout, std::function<void(result<wire::ExchangeReply>)> done) -> void
 {
     startCall<wire::ExchangeRequest, wire::ExchangeReply>(
-        client, address, std::move(request), timeout, std::move(done),
-        [](const auto &peer, const auto &one, auto finish) {
-            peer.stub->async()->Exchange(&one->context, &one->message, &one->answer, finish);
-        });
+            client, address, std::move(request), timeout, std::move(done),
+            [](const auto &peer, const auto &one, auto finish) {
+                peer.stub->async()->Exchange(&one->context, &one->message, &one->answer, finish);
+            });
 }
 
 auto callConsent(peer_client &client, const std::string &address, wire::ConsentRequest request,
                  duration timeout, std::function<void(result<wire::ConsentReply>)> done) -> void
 {
     startCall<wire::ConsentRequest, wire::ConsentReply>(
-        client, address, std::move(request), timeout, std::move(done),
-        [](const auto &peer, const auto &one, auto finish) {
-            peer.stub->async()->Consent(&one->context, &one->message, &one->answer, finish);
-        });
+            client, address, std::move(request), timeout, std::move(done),
+            [](const auto &peer, const auto &one, auto finish) {
+                peer.stub->async()->Consent(&one->context, &one->message, &one->answer, finish);
+            });
 }
 
 auto callForward(peer_client &client, const std::string &address, wire::ForwardRequest request,
                  duration timeout, std::function<void(result<wire::ForwardReply>)> done) -> void
 {
     startCall<wire::ForwardRequest, wire::ForwardReply>(
-        client, address, std::move(request), timeout, std::move(done),
-        [](const auto &peer, const auto &one, auto finish) {
-            peer.stub->async()->Forward(&one->context, &one->message, &one->answer, finish);
-        });
+            client, address, std::move(request), timeout, std::move(done),
+            [](const auto &peer, const auto &one, auto finish) {
+                peer.stub->async()->Forward(&one->context, &one->message, &one->answer, finish);
+            });
 }
 
 } // namespace parsleyloft
--- a/transport/worker_pool.cpp
+++ b/transport/worker_pool.cpp
@@ -22,7 +22,7 @@
     auto pool = std::make_unique<worker_pool>();
     for (unsigned index = 0; index < std::max(threads, 1U); ++index)
         pool->inside->threads.emplace_back(
-            [inside = pool->inside.get()] { inside->context.run(); });
+                [inside = pool->inside.get()] { inside->context.run(); });
     return pool;
 }
 
