--- a/codec/assignment_codec.cpp
+++ b/codec/assignment_codec.cpp
@@ -247,8 +247,11 @@
     message.set_record_version(request.recordVersion);
     *message.mutable_table_term() = toWire(request.tableTerm);
     message.set_table_version(request.tableVersion);
-    if (request.echoedStamp)
-        message.set_echoed_stamp_us(toMicroseconds(*request.echoedStamp));
+    if (request.returned) {
+        message.set_returned_stamp_us(toMicroseconds(request.returned->stamp));
+        message.set_returned_leader(request.returned->leader);
+        *message.mutable_returned_term() = toWire(request.returned->ledIn);
+    }
     if (request.table)
         *message.mutable_table() = toWire(*request.table);
     for (const auto &release : request.report.releasedShards)
@@ -279,9 +282,10 @@
     request.recordVersion = message.record_version();
     request.tableTerm = fromWire(message.table_term());
     request.tableVersion = message.table_version();
-    // A stamp of 0 stands for none: a process never stamps at the zero of its clock.
-    if (message.echoed_stamp_us() != 0)
-        request.echoedStamp = fromMicroseconds(message.echoed_stamp_us());
+    if (!message.returned_leader().empty())
+        request.returned =
+                returned_stamp{message.returned_leader(), fromWire(message.returned_term()),
+                               fromMicroseconds(message.returned_stamp_us())};
     if (message.has_table())
         request.table = fromWire(message.table());
     return request;
--- a/daemon/election.cpp
+++ b/daemon/election.cpp
@@ -147,7 +147,7 @@
     const auto reply = answerConsent(table.region.leadership, fromWire(request), monotonicNow());
     if (reply.granted) {
         table.region.leaderHint = request.candidate();
-        table.region.echoedStamp.reset();
+        table.region.returned.reset();
         if (wasLeader)
             setLeading(daemon.counters, false);
     }
--- a/daemon/leader.cpp
+++ b/daemon/leader.cpp
@@ -39,7 +39,8 @@
         return;
     const auto stored = fromWire(message);
     meetTerm(table.region.leadership, stored.givenIn);
-    if (stored.givenIn < in) {
+    const auto quiet = monotonicNow() < table.region.leadership.quietUntil;
+    if (stored.givenIn < in && quiet) {
         const auto version = table.region.planner.table.version;
         mergeNewer(table.region.planner.table, stored);
         table.region.planner.table.version = version;
--- a/decisions/candidacy.cpp
+++ b/decisions/candidacy.cpp
@@ -39,8 +39,7 @@
 {
     const auto &state = region.leadership;
     const auto spread = static_cast<std::uint64_t>(recoverySpread.count());
-    return leastRecoveryPause
-            + duration(stableHash(state.self, state.highest.generation) % spread);
+    return leastRecoveryPause + duration(stableHash(state.self, state.highest.generation) % spread);
 }
 
 auto maySupplant(region_state &region, const std::map<host_id, instant> &heard,
--- a/decisions/exchange.cpp
+++ b/decisions/exchange.cpp
@@ -6,14 +6,39 @@
 
 namespace {
 
+// Learns what a host holds. After the quiet time nothing of an earlier term is held.
+auto takeOver(region_state &region, const host_id &host, const assignment_table &table, instant now)
+        -> void
+{
+    if (now < region.leadership.quietUntil)
+        takeHeldTable(region.planner, host, table);
+    else
+        region.planner.hosts[host].merged = true;
+}
+
+// True while a group of the host is planned for another, which hosts aren't told yet. A
+// lease under the table that they have would bring the old holding back.
+auto isBeingReplaced(const region_state &region, const host_id &host) -> bool
+{
+    for (const auto &[id, group] : region.given.groups) {
+        if (group.holder != host || group.phase == assignment_phase::Vacant)
+            continue;
+        const auto planned = region.planner.table.groups.find(id);
+        if (planned == region.planner.table.groups.end() || planned->second.given != group.given)
+            return true;
+    }
+    return false;
+}
+
 // Takes what a host says of itself and gives it a lease, when this host leads.
 auto answerAsLeader(region_state &region, const exchange_request &request, instant now,
                     exchange_reply &reply) -> void
 {
     const auto &host = request.report.host.id;
     auto &state = region.leadership;
-    if (request.echoedStamp && request.highest == state.highest)
-        countConfirmation(state, host, request.report.start, *request.echoedStamp,
+    const auto &returned = request.returned;
+    if (returned && returned->leader == state.self && returned->ledIn == state.highest)
+        countConfirmation(state, host, request.report.start, returned->stamp,
                           request.recordVersion);
     const auto confirmed = licenceConfirmedAt(state, now);
     const auto planning = region.plannedTerm == state.highest;
@@ -23,12 +48,12 @@
     reply.stamp = now;
     takeReport(region.planner, request.report, now);
     if (request.table)
-        takeHeldTable(region.planner, host, *request.table);
+        takeOver(region, host, *request.table, now);
     reply.tableWanted = !region.planner.hosts[host].merged;
     const assignment_table theirs{request.tableTerm, request.tableVersion, {}, {}, {}, {}};
     if (isNewer(region.given, theirs))
         reply.table = region.given;
-    if (!mayLease(region.planner, host, now))
+    if (!mayLease(region.planner, host, now) || isBeingReplaced(region, host))
         return;
     reply.leaseGiven = true;
     reply.confirmationAge = now - *confirmed;
@@ -52,7 +77,7 @@
 auto addLeadership(const region_state &region, exchange_request &request) -> void
 {
     request.highest = region.leadership.highest;
-    request.echoedStamp = region.echoedStamp;
+    request.returned = region.returned;
     request.recordVersion = region.leadership.record.version;
 }
 
@@ -102,7 +127,7 @@
     region.tableWanted = reply.tableWanted;
     const auto itself = reply.from == state.self;
     if (!itself && promiseSupport(state, reply.from, reply.highest, now))
-        region.echoedStamp = reply.stamp;
+        region.returned = returned_stamp{reply.from, reply.highest, reply.stamp};
     return true;
 }
 
--- a/decisions/exchange.h
+++ b/decisions/exchange.h
@@ -11,6 +11,17 @@
 
 namespace parsleyloft {
 
+// A leader's stamp that a host returns as its promise of support.
+struct returned_stamp
+{
+    // The stamp is a reading of this host's clock and means nothing to any other.
+    host_id leader;
+    term ledIn;
+    instant stamp{};
+
+    auto operator==(const returned_stamp &) const -> bool = default;
+};
+
 // What one host knows of its region's leadership, and what it needs when it leads.
 struct region_state
 {
@@ -19,7 +30,7 @@
     // The table that hosts may have, as this leader gave it out.
     assignment_table given;
     // The stamp to return to the leader that this host promised to support.
-    std::optional<instant> echoedStamp;
+    std::optional<returned_stamp> returned;
     host_id leaderHint;
     bool tableWanted = false;
     // When a leader last gave its word, by any host's answer.
@@ -35,7 +46,7 @@
 {
     host_report report;
     term highest;
-    std::optional<instant> echoedStamp;
+    std::optional<returned_stamp> returned;
     std::uint64_t recordVersion = 0;
     term tableTerm;
     std::uint64_t tableVersion = 0;
--- a/decisions/holdings.cpp
+++ b/decisions/holdings.cpp
@@ -164,8 +164,8 @@
 auto renewLease(holdings_state &state, const lease_word &word, instant now) -> void
 {
     noteLapse(state, now);
-    const auto ends = word.sentAt - word.confirmationAge
-            + shortened(state.limits.grant, state.limits);
+    const auto ends =
+            word.sentAt - word.confirmationAge + shortened(state.limits.grant, state.limits);
     if (ends <= now)
         return;
     if (!leaseValid(state, now))
--- a/decisions/planner.cpp
+++ b/decisions/planner.cpp
@@ -130,8 +130,7 @@
 {
     auto &group = work.next.groups[id];
     // While older leases run, an epoch that is handed back may not be the newest.
-    const auto handedBack = work.now >= work.quietUntil && work.state.handedBackGroups.contains(id)
-            && work.now >= work.state.hosts[group.holder].leaseFrom;
+    const auto handedBack = work.now >= work.quietUntil && work.state.handedBackGroups.contains(id);
     if (group.phase == assignment_phase::Vacant) {
         if (work.now >= work.quietUntil)
             assignGroup(work, id, group);
@@ -260,6 +259,23 @@
     });
 }
 
+auto takeReleases(planner_state &state, const host_report &report) -> void
+{
+    for (const auto &release : report.releasedGroups) {
+        const auto found = state.table.groups.find(release.group);
+        const auto current = found != state.table.groups.end()
+                && found->second.holder == report.host.id && found->second.given == release.given;
+        if (current)
+            state.handedBackGroups.insert(release.group);
+    }
+    for (const auto &release : report.releasedShards) {
+        const auto *found = findShard(state.table, release.shard);
+        if (found != nullptr && found->given == release.given)
+            state.table.shards[release.shard.service][release.shard.index].phase =
+                    assignment_phase::Vacant;
+    }
+}
+
 } // namespace
 
 auto beginTerm(planner_state &state, term ledIn) -> void
@@ -287,19 +303,9 @@
     host.lastSeen = now;
     host.draining = report.draining;
     state.table.hosts.try_emplace(report.host.id, report.host);
-    for (const auto &release : report.releasedGroups) {
-        const auto found = state.table.groups.find(release.group);
-        const auto current = found != state.table.groups.end()
-                && found->second.holder == report.host.id && found->second.given == release.given;
-        if (current)
-            state.handedBackGroups.insert(release.group);
-    }
-    for (const auto &release : report.releasedShards) {
-        const auto *found = findShard(state.table, release.shard);
-        if (found != nullptr && found->given == release.given)
-            state.table.shards[release.shard.service][release.shard.index].phase =
-                    assignment_phase::Vacant;
-    }
+    // The leases of a restarted host's former process may still run.
+    if (now >= host.leaseFrom)
+        takeReleases(state, report);
     for (const auto &[server, reachable] : report.serverReachable) {
         if (reachable)
             state.unreachable.erase(server);
--- a/decisions/server_limit.cpp
+++ b/decisions/server_limit.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Answers that a cold server gives before its limit rises by one slot.
-constexpr std::uint32_t answersPerSlot = 10;
+constexpr std::uint32_t answersPerSlot = 20;
 
 // A server this many times slower than its peers is a straggler, until it is back
 // within the second ratio.
