--- a/core/time.h
+++ b/core/time.h
@@ -16,6 +16,7 @@
 using std::chrono_literals::operator""us;
 using std::chrono_literals::operator""s;
 using std::chrono_literals::operator""min;
+using std::chrono_literals::operator""h;
 
 inline auto fromMicroseconds(std::int64_t value) -> instant
 {
--- /dev/null
+++ b/tests/codec/codec_test.cpp
@@ -0,0 +1,90 @@
+// Settings, and messages that come back as they went.
+#include "codec/assignment_codec.h"
+#include "codec/configuration_codec.h"
+#include "codec/json.h"
+
+#include <catch2/catch.hpp>
+
+namespace parsleyloft {
+
+namespace {
+
+struct settings_text
+{
+    std::string text = R"({"host_id": "h1", "failure_domain": "a",
+        "caller_address": "127.0.0.1:8000", "peer_address": "127.0.0.1:8001",
+        "platform_address": "127.0.0.1:8002",
+        "services": [{"name": "orders", "keyed": true, "shards": 8}]})";
+
+    auto with(const std::string &from, const std::string &to) const -> result<wire::Settings>
+    {
+        auto changed = text;
+        changed.replace(changed.find(from), from.size(), to);
+        return readSettings(changed);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(settings_text, "settings_that_are_right_get_their_defaults", "[settings]")
+{
+    const auto settings = readSettings(text);
+    REQUIRE(settings);
+    CHECK(settings->worker_threads() == 2);
+    CHECK(settings->log_level() == "info");
+}
+
+TEST_CASE_METHOD(settings_text, "settings_with_an_unknown_field_are_refused", "[settings]")
+{
+    const auto settings = with("\"host_id\"", "\"hots_id\"");
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().detail.find("hots_id") != std::string::npos);
+}
+
+TEST_CASE_METHOD(settings_text, "settings_with_faults_name_each_with_its_path", "[settings]")
+{
+    const auto settings = with("\"shards\": 8", "\"shards\": 0");
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().detail == "services[0].shards: '0': must be from 1 to 65536\n");
+    CHECK_FALSE(with("127.0.0.1:8000", "somewhere"));
+    CHECK_FALSE(with("\"h1\"", "\"\""));
+}
+
+TEST_CASE("assignment_table_over_the_wire_comes_back_whole", "[codec]")
+{
+    assignment_table table;
+    table.givenIn = {3, 4};
+    table.version = 9;
+    table.groups[{"orders", "a"}] = {"h1", {{3, 4}, 2}, assignment_phase::Releasing};
+    table.shards["orders"] = {{"s1", {{3, 4}, 5}, assignment_phase::Held},
+                              {"s2", {{2, 1}, 7}, assignment_phase::Vacant},
+                              {"s1", {{3, 4}, 6}, assignment_phase::Held}};
+    table.servers["s1"] = {"s1", "orders", "a", "127.0.0.1:1", 3, true};
+    table.hosts["h1"] = {"h1", "a", "127.0.0.1:2", "127.0.0.1:3"};
+    CHECK(fromWire(toWire(table)) == table);
+}
+
+TEST_CASE("exchange_over_the_wire_keeps_the_returned_stamp_with_its_leader", "[codec]")
+{
+    exchange_request request;
+    request.report.host.id = "h1";
+    request.report.serverReachable = {{"s1", false}};
+    request.report.releasedShards = {{{"orders", 3}, {{1, 2}, 3}}};
+    request.returned = returned_stamp{"h2", {1, 2}, fromMicroseconds(-5)};
+    const auto back = fromWire(toWire(request));
+    CHECK(back.returned == request.returned);
+    CHECK(back.report.serverReachable == request.report.serverReachable);
+    CHECK(back.report.releasedShards.size() == 1);
+}
+
+TEST_CASE("configuration_over_the_wire_comes_back_whole", "[codec]")
+{
+    configuration value;
+    value.revision = 3;
+    value.classes["order"] = {"order", "orders", 2s, false, 5};
+    value.domainsOut = {"a"};
+    value.hostsOut = {"h7"};
+    CHECK(fromWire(toWire(value)) == value);
+}
+
+} // namespace parsleyloft
--- /dev/null
+++ b/tests/process/failure_test.cpp
@@ -0,0 +1,296 @@
+// Real processes under kills, freezes, cuts, outages and operators, judged by the auditor.
+#include "codec/json.h"
+#include "tests/support/cluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace parsleyloft {
+
+namespace {
+
+// Calls that end while a fault lasts: more than a lease length at the load's rate.
+constexpr std::uint64_t callsOfAFewSeconds = 600;
+
+auto putClass(cluster &cluster, const std::string &host, const std::string &name,
+              std::uint32_t maxWaitMs, const std::string &revision) -> unsigned
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = "/v1/classes/" + name;
+    request.body = R"({"service": "catalogue", "may_repeat": true, "max_wait_ms": )"
+            + std::to_string(maxWaitMs) + "}";
+    if (!revision.empty())
+        request.headers["If-Match"] = revision;
+    const auto at = *parseEndpoint(callerAddress(cluster, host));
+    return callAndWait(cluster.client, at, request, 20s).response.status;
+}
+
+auto hasClass(cluster &cluster, const std::string &host, const std::string &name,
+              std::uint32_t maxWaitMs) -> bool
+{
+    const auto dump = dumpOf(cluster, host);
+    if (!dump)
+        return false;
+    for (const auto &work : dump->configuration().classes()) {
+        if (work.name() == name)
+            return work.max_wait_ms() == maxWaitMs;
+    }
+    return false;
+}
+
+// Calls with non-repeatable work are all answered again.
+auto requireServed(cluster &cluster, const std::string &prefix) -> void
+{
+    awaitThat("all shards are owned", [&] { return allServed(cluster); });
+    for (int key = 0; key < 24; ++key) {
+        const auto id = prefix + "-after-" + std::to_string(key);
+        awaitThat("the key is served", [&, attempt = 0]() mutable {
+            const auto response = callClass(cluster, findLeader(cluster), "order",
+                                            id + "-" + std::to_string(attempt++),
+                                            "key-" + std::to_string(key));
+            return headerOf(response.headers, "Parsleyloft-Outcome") == "answered";
+        });
+    }
+}
+
+} // namespace
+
+TEST_CASE_METHOD(cluster, "store_down_while_hosts_are_killed_keeps_every_invariant", "[process]")
+{
+    startLoad(*this, "load", 30);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    setPlatformFaults(*this, R"({"down": true})");
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    // A holder of exclusive keys, then the leader, while nobody can use the store.
+    const auto holder = holderOf(*this, "orders", "a");
+    sendSignal(*this, holder, SIGKILL);
+    awaitExit(*this, holder);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    const auto leader = findLeader(*this);
+    sendSignal(*this, leader, SIGKILL);
+    awaitExit(*this, leader);
+    requireServed(*this, "outage");
+    awaitLoad(*this, "load");
+    setPlatformFaults(*this, "{}");
+    startHost(*this, holder);
+    startHost(*this, leader);
+    requireServed(*this, "healed");
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "store_down_for_long_interrupts_no_key", "[process]")
+{
+    startLoad(*this, "load", 35);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    setPlatformFaults(*this, R"({"down": true})");
+    const auto report = awaitLoad(*this, "load");
+    setPlatformFaults(*this, "{}");
+    CHECK(countOf(report, "order", "not_run") == 0);
+    CHECK(countOf(report, "order", "unknown") == 0);
+    CHECK(auditClean(*this).owner_changes() == 0);
+}
+
+TEST_CASE_METHOD(cluster, "domain_cut_off_stops_its_keys_before_they_start_elsewhere",
+                 "[process]")
+{
+    startLoad(*this, "load", 25);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    cutDomain(*this, "b", true);
+    awaitThat("the other domains own all keys", [&] {
+        const auto dump = dumpOf(*this, findLeader(*this));
+        if (!dump)
+            return false;
+        for (const auto &group : dump->table().groups()) {
+            const auto inside = group.holder() == "host-2" || group.holder() == "host-5";
+            if (inside || group.phase() != wire::ASSIGNMENT_PHASE_HELD)
+                return false;
+        }
+        return true;
+    });
+    // Idempotent work without keys goes on inside the domain that is cut off.
+    awaitThat("the cut domain serves idempotent work", [&, attempt = 0]() mutable {
+        const auto response = callClass(*this, "host-2", "check",
+                                        "inside-" + std::to_string(attempt++), "");
+        return response.status == 200;
+    });
+    cutDomain(*this, "b", false);
+    requireServed(*this, "healed");
+    awaitLoad(*this, "load");
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "frozen_servers_that_thaw_run_nothing_they_no_longer_own", "[process]")
+{
+    startLoad(*this, "load", 25);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    // One server that checks grants and one that doesn't.
+    sendSignal(*this, "orders-2", SIGSTOP);
+    sendSignal(*this, "ledger-3", SIGSTOP);
+    awaitThat("others own their shards", [&] {
+        const auto dump = dumpOf(*this, findLeader(*this));
+        if (!dump)
+            return false;
+        for (const auto &service : dump->table().shards()) {
+            for (int index = 0; index < service.owners_size(); ++index) {
+                const auto &owner = service.server_ids(static_cast<int>(service.owners(index)));
+                if (owner == "orders-2" || owner == "ledger-3")
+                    return false;
+            }
+        }
+        return true;
+    });
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    sendSignal(*this, "orders-2", SIGCONT);
+    sendSignal(*this, "ledger-3", SIGCONT);
+    awaitLoad(*this, "load");
+    requireServed(*this, "thawed");
+    CHECK(auditClean(*this).owner_changes() > 0);
+}
+
+TEST_CASE_METHOD(cluster, "paused_leader_and_lost_answers_lose_no_change", "[process]")
+{
+    startLoad(*this, "load", 30);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    setPlatformFaults(*this, R"({"lost_answers_permille": 400, "delay_ms": 20})");
+    const auto leader = findLeader(*this);
+    sendSignal(*this, leader, SIGSTOP);
+    const std::string other = leader == "host-1" ? "host-3" : "host-1";
+    awaitThat("another host leads", [&] {
+        const auto dump = dumpOf(*this, other);
+        return dump && !dump->leader().empty() && dump->leader() != leader;
+    });
+    unsigned status = 0;
+    awaitThat("a change is accepted", [&] {
+        status = putClass(*this, other, "extra", 700, "");
+        return status == 200;
+    });
+    sendSignal(*this, leader, SIGCONT);
+    for (const auto &host : plan.hosts)
+        awaitThat("the change is in force",
+                  [&] { return hasClass(*this, host.host_id(), "extra", 700); });
+    awaitLoad(*this, "load");
+    setPlatformFaults(*this, "{}");
+    requireServed(*this, "resumed");
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "operators_that_race_get_one_acceptance_and_one_conflict", "[process]")
+{
+    const auto before = dumpOf(*this, "host-1");
+    REQUIRE(before);
+    const auto revision = std::to_string(before->configuration().revision());
+    auto first = std::async(std::launch::async,
+                            [&] { return putClass(*this, "host-1", "race", 101, revision); });
+    const auto second = putClass(*this, "host-4", "race", 202, revision);
+    const auto statuses = std::minmax(first.get(), second);
+    CHECK(statuses.first == 200);
+    CHECK(statuses.second == 409);
+    const auto winner = second == 200 ? 202U : 101U;
+    for (const auto &host : plan.hosts)
+        awaitThat("the winner is in force",
+                  [&] { return hasClass(*this, host.host_id(), "race", winner); });
+}
+
+TEST_CASE_METHOD(cluster, "change_stands_while_every_host_is_replaced_and_the_store_fails",
+                 "[process]")
+{
+    REQUIRE(putClass(*this, "host-1", "kept", 333, "") == 200);
+    startLoad(*this, "load", 60);
+    for (const auto &host : plan.hosts) {
+        const auto name = host.host_id();
+        sendSignal(*this, name, SIGTERM);
+        CHECK(awaitExit(*this, name) == 0);
+        startHost(*this, name);
+        awaitThat("the host serves again", [&] { return allServed(*this); });
+        CHECK(hasClass(*this, name, "kept", 333));
+    }
+    setPlatformFaults(*this, R"({"down": true})");
+    const auto last = plan.hosts.back().host_id();
+    sendSignal(*this, last, SIGKILL);
+    awaitExit(*this, last);
+    startHost(*this, last);
+    // A host that starts while the store is down learns the configuration from its peers.
+    awaitThat("the host knows the change", [&] { return hasClass(*this, last, "kept", 333); });
+    setPlatformFaults(*this, "{}");
+    sendSignal(*this, "load", SIGTERM);
+    awaitExit(*this, "load");
+    for (const auto &host : plan.hosts)
+        CHECK(hasClass(*this, host.host_id(), "kept", 333));
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "rolling_stop_of_every_host_cuts_no_request", "[process]")
+{
+    startLoad(*this, "load", 40);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    for (const auto &host : plan.hosts) {
+        sendSignal(*this, host.host_id(), SIGTERM);
+        CHECK(awaitExit(*this, host.host_id()) == 0);
+        startHost(*this, host.host_id());
+        awaitThat("the host serves again", [&] { return allServed(*this); });
+    }
+    const auto report = awaitLoad(*this, "load");
+    for (const auto &one : report.classes())
+        CHECK(countOf(report, one.name(), "cut") == 0);
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "domain_out_and_in_under_load_gets_no_work_while_out", "[process]")
+{
+    startLoad(*this, "load", 25);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    const auto address = callerAddress(*this, "host-1");
+    REQUIRE(postTo(*this, address, "/v1/domains", R"({"id": "c", "out": true})").status == 200);
+    awaitCalls(*this, "load", 2 * callsOfAFewSeconds);
+    REQUIRE(postTo(*this, address, "/v1/domains", R"({"id": "c", "out": false})").status == 200);
+    const auto report = awaitLoad(*this, "load");
+    CHECK(countOf(report, "order", "not_run") == 0);
+    CHECK(countOf(report, "order", "unknown") == 0);
+    requireServed(*this, "back");
+    CHECK(auditClean(*this).owner_changes() > 0);
+}
+
+TEST_CASE_METHOD(cluster, "leaving_server_under_load_is_emptied", "[process]")
+{
+    startLoad(*this, "load", 20);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    setListed(*this, "orders-1", "leaving");
+    setListed(*this, "catalogue-1", "leaving");
+    const auto report = awaitLoad(*this, "load");
+    CHECK(countOf(report, "order", "not_run") == 0);
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "servers_that_answer_wrongly_give_no_caller_a_wrong_answer",
+                 "[process]")
+{
+    startLoad(*this, "load", 25);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    setBackendFaults(*this, "catalogue-1", R"({"crossed_answers": true})");
+    setBackendFaults(*this, "orders-1", R"({"crossed_answers": true})");
+    setBackendFaults(*this, "catalogue-2", R"({"short_body": true})");
+    setBackendFaults(*this, "orders-2", R"({"short_body": true})");
+    setBackendFaults(*this, "orders-3", R"({"delay_answers_ms": 9000})");
+    setBackendFaults(*this, "ledger-1", R"({"close_mid_answer": true})");
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    for (const auto &backend : plan.backends)
+        setBackendFaults(*this, backend.id, "{}");
+    const auto report = awaitLoad(*this, "load");
+    CHECK(countOf(report, "order", "unknown") > 0);
+    auditClean(*this);
+}
+
+TEST_CASE_METHOD(cluster, "cold_servers_without_warning_are_not_overrun_for_long", "[process]")
+{
+    startLoad(*this, "load", 15);
+    awaitCalls(*this, "load", callsOfAFewSeconds);
+    sendSignal(*this, "catalogue-1", SIGKILL);
+    awaitExit(*this, "catalogue-1");
+    awaitLoad(*this, "load");
+    auditClean(*this);
+}
+
+} // namespace parsleyloft
