--- a/daemon/election.cpp
+++ b/daemon/election.cpp
@@ -97,7 +97,7 @@
         next = recoveryRecord(state, out);
     }
     storeWrite(daemon, recordKey(daemon), toWire(next).SerializeAsString(), stored.index,
-               [&daemon, next](result<void> ended) {
+               [&daemon, next](const result<void> &ended) {
                    // An unknown end is left to the next reading of the record.
                    if (!ended)
                        return;
--- a/decisions/planner.cpp
+++ b/decisions/planner.cpp
@@ -223,14 +223,16 @@
                 return shard.phase == assignment_phase::Releasing;
             }));
     while (moving < maxBalancingShards) {
-        const auto [least, most] = std::minmax_element(loads.begin(), loads.end(), byShards);
-        if (most->shards < least->shards + moving + 2)
+        const auto extremes = std::minmax_element(loads.begin(), loads.end(), byShards);
+        const auto &least = *extremes.first;
+        auto &most = *extremes.second;
+        if (most.shards < least.shards + moving + 2)
             return;
         const auto found = std::find_if(shards.begin(), shards.end(), [&](const auto &shard) {
-            return shard.phase == assignment_phase::Held && shard.owner == most->server->id;
+            return shard.phase == assignment_phase::Held && shard.owner == most.server->id;
         });
         found->phase = assignment_phase::Releasing;
-        --most->shards;
+        --most.shards;
         ++moving;
     }
 }
--- a/lab/load_generator.cpp
+++ b/lab/load_generator.cpp
@@ -105,8 +105,11 @@
     return mix;
 }
 
+// At least one host.
 auto parseHosts(const std::string &text) -> result<std::vector<endpoint>>
 {
+    if (text.empty())
+        return failure(error_code::InvalidInput, "at: must name a host");
     std::vector<endpoint> hosts;
     for (const auto &part : split(text, ',')) {
         const auto host = parseEndpoint(part);
@@ -142,7 +145,7 @@
 // The next host in turn that the balancer holds for healthy.
 auto chooseHost(load_state &state) -> std::size_t
 {
-    const auto count = state.wanted.hosts.size();
+    const auto count = std::max<std::size_t>(state.wanted.hosts.size(), 1);
     for (std::size_t step = 0; step < count; ++step) {
         const auto host = state.nextHost++ % count;
         if (state.healthy[host])
