Count owners' shards in one pass over the table

Cause: loadsOf compared every shard with every server, so planning an unchanged table grew with their product. Ruled out: copying the table (toWire of the same table is linear). Change: an index of the servers.

--- a/decisions/planner.cpp
+++ b/decisions/planner.cpp
@@ -4,6 +4,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace parsleyloft {
 
@@ -170,15 +171,19 @@
 auto loadsOf(const plan &work, const service_info &service) -> std::vector<owner_load>
 {
     std::vector<owner_load> loads;
+    std::unordered_map<std::string_view, std::size_t> indexes;
     for (const auto &[id, server] : work.next.servers) {
-        if (server.service == service.name && mayOwn(work, server))
-            loads.push_back({&server, 0});
+        if (server.service != service.name || !mayOwn(work, server))
+            continue;
+        indexes[id] = loads.size();
+        loads.push_back({&server, 0});
     }
     for (const auto &shard : work.next.shards[service.name]) {
-        for (auto &load : loads) {
-            if (shard.phase == assignment_phase::Held && shard.owner == load.server->id)
-                ++load.shards;
-        }
+        if (shard.phase != assignment_phase::Held)
+            continue;
+        const auto found = indexes.find(shard.owner);
+        if (found != indexes.end())
+            ++loads[found->second].shards;
     }
     return loads;
 }
@@ -252,12 +257,11 @@
 
 auto dropUnusedGroups(assignment_table &table) -> void
 {
+    std::set<group_id> used;
+    for (const auto &[id, server] : table.servers)
+        used.insert(groupOf(server));
     std::erase_if(table.groups, [&](const auto &entry) {
-        const auto used =
-                std::any_of(table.servers.begin(), table.servers.end(), [&](const auto &server) {
-                    return groupOf(server.second) == entry.first;
-                });
-        return !used && entry.second.phase == assignment_phase::Vacant;
+        return !used.contains(entry.first) && entry.second.phase == assignment_phase::Vacant;
     });
 }
 
