--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -45,7 +45,7 @@
 auto planUnchangedTable(benchmark::State &state) -> void
 {
     auto region = leadingRegion(state.range(0), state.range(1), state.range(2));
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         planTable(region.planner, {}, start, start);
         benchmark::DoNotOptimize(nextToGiveOut(region.planner, region.given));
     }
@@ -62,7 +62,7 @@
     request.tableVersion = region.given.version;
     request.returned = returned_stamp{"host-0", {1, 1}, start};
     exchange_reply reply;
-    for (auto _ : state)
+    for ([[maybe_unused]] auto _ : state)
         reply = answerExchange(region, request, start);
     state.counters["request_bytes"] = static_cast<double>(toWire(request).ByteSizeLong());
     state.counters["reply_bytes"] = static_cast<double>(toWire(reply).ByteSizeLong());
@@ -86,7 +86,7 @@
     queued_request request;
     request.className = "check";
     request.deadline = start + 1s;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         ++request.number;
         offer(queue, request, 50, start);
         for (const auto &one : takeStarts(queue, start))
