Share the frames of commands and stand-ins, test what wrong input is told

Reading as a newcomer: serve and check, status and dump, and the two stand-ins each repeated a frame; a queue field and a counter were never used.

--- a/command/operator_command.cpp
+++ b/command/operator_command.cpp
@@ -152,6 +152,22 @@
     return sendChange(common, std::move(request));
 }
 
+// Reads the options and a host's state, or gives the exit code of what went wrong.
+auto readDump(const arguments &rest, common_options &common) -> tl::expected<wire::Dump, exit_code>
+{
+    options::options_description known("options");
+    addCommon(known, common);
+    options::variables_map values;
+    const auto ended = parseOptions(rest, known, {}, values);
+    if (ended)
+        return tl::unexpected(*ended);
+    wire::Dump dump;
+    const auto read = fetch(common.at, "/v1/dump", dump);
+    if (!read)
+        return tl::unexpected(report(read.error()));
+    return dump;
+}
+
 } // namespace
 
 auto runClass(const arguments &rest) -> exit_code
@@ -200,37 +216,23 @@
 auto runStatus(const arguments &rest) -> exit_code
 {
     common_options common;
-    options::options_description known("options");
-    addCommon(known, common);
-    options::variables_map values;
-    const auto ended = parseOptions(rest, known, {}, values);
-    if (ended)
-        return *ended;
-    wire::Dump dump;
-    const auto read = fetch(common.at, "/v1/dump", dump);
-    if (!read)
-        return report(read.error());
+    const auto dump = readDump(rest, common);
+    if (!dump)
+        return dump.error();
     if (common.json)
-        std::cout << toJson(statusOf(dump)) << "\n";
+        std::cout << toJson(statusOf(*dump)) << "\n";
     else
-        printStatus(dump);
+        printStatus(*dump);
     return exit_code::Success;
 }
 
 auto runDump(const arguments &rest) -> exit_code
 {
     common_options common;
-    options::options_description known("options");
-    addCommon(known, common);
-    options::variables_map values;
-    const auto ended = parseOptions(rest, known, {}, values);
-    if (ended)
-        return *ended;
-    wire::Dump dump;
-    const auto read = fetch(common.at, "/v1/dump", dump);
-    if (!read)
-        return report(read.error());
-    std::cout << toJson(dump, common.json ? json_layout::Compact : json_layout::Indented) << "\n";
+    const auto dump = readDump(rest, common);
+    if (!dump)
+        return dump.error();
+    std::cout << toJson(*dump, common.json ? json_layout::Compact : json_layout::Indented) << "\n";
     return exit_code::Success;
 }
 
--- a/command/serve_command.cpp
+++ b/command/serve_command.cpp
@@ -27,28 +27,31 @@
     return settings;
 }
 
-auto settingsOption(const arguments &rest, std::string &path) -> std::optional<exit_code>
+// The settings that the command line names, or the exit code of what went wrong.
+auto settingsFrom(const arguments &rest) -> tl::expected<wire::Settings, exit_code>
 {
+    std::string path;
     options::options_description known("options");
     known.add_options()("help", "show this text")("settings", options::value(&path)->required(),
                                                   "settings file in JSON");
     options::variables_map values;
-    return parseOptions(rest, known, {}, values);
+    const auto ended = parseOptions(rest, known, {}, values);
+    if (ended)
+        return tl::unexpected(*ended);
+    auto settings = loadSettings(path);
+    if (settings)
+        return std::move(*settings);
+    report(settings.error());
+    return tl::unexpected(exit_code::Usage);
 }
 
 } // namespace
 
 auto runServe(const arguments &rest) -> exit_code
 {
-    std::string path;
-    const auto ended = settingsOption(rest, path);
-    if (ended)
-        return *ended;
-    const auto settings = loadSettings(path);
-    if (!settings) {
-        report(settings.error());
-        return exit_code::Usage;
-    }
+    const auto settings = settingsFrom(rest);
+    if (!settings)
+        return settings.error();
     const auto signals = blockStopSignals();
     startLog(*valueIn(logLevelNames, settings->log_level()), settings->host_id());
     const auto daemon = startDaemon(*settings);
@@ -60,15 +63,9 @@
 
 auto runCheck(const arguments &rest) -> exit_code
 {
-    std::string path;
-    const auto ended = settingsOption(rest, path);
-    if (ended)
-        return *ended;
-    const auto settings = loadSettings(path);
-    if (!settings) {
-        report(settings.error());
-        return exit_code::Usage;
-    }
+    const auto settings = settingsFrom(rest);
+    if (!settings)
+        return settings.error();
     std::cout << toJson(*settings, json_layout::Indented);
     return exit_code::Success;
 }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -186,7 +186,6 @@
     std::atomic<bool> storeReachable = false;
     std::atomic<std::uint64_t> storeCalls = 0;
     std::atomic<std::size_t> parked = 0;
-    std::atomic<std::size_t> callers = 0;
 };
 
 auto groupTable(daemon_process &daemon, const group_id &group) -> std::shared_ptr<group_table>;
--- a/daemon/dispatch.cpp
+++ b/daemon/dispatch.cpp
@@ -50,8 +50,8 @@
             return {known, std::nullopt};
     }
     const auto number = table.nextTicket++;
-    const queued_request queued{
-            number, request->work.name, request->owner, request->shard, now, request->deadline, {}};
+    const queued_request queued{number, request->work.name, request->owner, request->shard,
+                                now,    request->deadline};
     const auto offered = offer(table.queue, queued, request->work.maxRefusedPermille, now);
     if (!offered.admitted) {
         if (!request->work.mayRepeat)
--- a/decisions/group_queue.cpp
+++ b/decisions/group_queue.cpp
@@ -97,7 +97,7 @@
 auto serverFor(group_queue &queue, const queued_request &request, instant now) -> server_load *
 {
     if (request.owner.empty())
-        return roomyServer(queue, request.avoid, now);
+        return roomyServer(queue, {}, now);
     const auto owner = queue.servers.find(request.owner);
     if (owner == queue.servers.end() || owner->second.phase == server_phase::Unreachable)
         return nullptr;
--- a/decisions/group_queue.h
+++ b/decisions/group_queue.h
@@ -25,8 +25,6 @@
     shard_index shard = 0;
     instant arrived{};
     instant deadline{};
-    // A server to stay away from, after an attempt there failed or is still under way.
-    server_id avoid;
 };
 
 struct class_share
--- a/lab/backend_stand_in.cpp
+++ b/lab/backend_stand_in.cpp
@@ -3,8 +3,8 @@
 
 #include "codec/assignment_codec.h"
 #include "codec/json.h"
-#include "command/stop_signal.h"
 #include "generated/server.pb.h"
+#include "lab/stand_in_process.h"
 #include "telemetry/journal.h"
 
 #include <cmath>
@@ -440,21 +440,9 @@
     const auto ended = parseOptions(rest, known, {}, values);
     if (ended)
         return *ended;
-    const auto where = parseEndpoint(at);
-    if (!where) {
-        std::cerr << where.error().detail << "\n";
-        return exit_code::Usage;
-    }
-    const auto signals = blockStopSignals();
-    const auto workers = startWorkers(1);
-    const auto backend = startBackend(*workers, *where, options);
-    if (!backend) {
-        std::cerr << backend.error().detail << "\n";
-        return exit_code::Unreachable;
-    }
-    waitForStopSignal(signals);
-    stopWorkers(*workers);
-    return exit_code::Success;
+    return runStandIn(at, 1, [&](worker_pool &pool, const endpoint &where) {
+        return startBackend(pool, where, options);
+    });
 }
 
 } // namespace parsleyloft
--- a/lab/platform_stand_in.cpp
+++ b/lab/platform_stand_in.cpp
@@ -2,8 +2,8 @@
 #include "lab/platform_stand_in.h"
 
 #include "codec/json.h"
-#include "command/stop_signal.h"
 #include "generated/platform.pb.h"
+#include "lab/stand_in_process.h"
 #include "telemetry/journal.h"
 
 #include <charconv>
@@ -395,21 +395,10 @@
     const auto ended = parseOptions(rest, known, {}, values);
     if (ended)
         return *ended;
-    const auto where = parseEndpoint(at);
-    if (!where) {
-        std::cerr << where.error().detail << "\n";
-        return exit_code::Usage;
-    }
-    const auto signals = blockStopSignals();
-    const auto workers = startWorkers(2);
-    const auto platform = startPlatform(*workers, *where, journalPath);
-    if (!platform) {
-        std::cerr << platform.error().detail << "\n";
-        return exit_code::Unreachable;
-    }
-    waitForStopSignal(signals);
-    stopWorkers(*workers);
-    return exit_code::Success;
+    constexpr unsigned threads = 2;
+    return runStandIn(at, threads, [&](worker_pool &pool, const endpoint &where) {
+        return startPlatform(pool, where, journalPath);
+    });
 }
 
 } // namespace parsleyloft
--- /dev/null
+++ b/tests/process/command_test.cpp
@@ -0,0 +1,94 @@
+// What callers and operators are told when something is wrong, by the shipped program.
+#include "codec/json.h"
+#include "command/exit_code.h"
+#include "tests/support/cluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sys/wait.h>
+
+namespace parsleyloft {
+
+namespace {
+
+// Runs the shipped program with the arguments and returns its exit code.
+auto runProgram(const std::string &arguments) -> exit_code
+{
+    const auto status = std::system(
+            (std::string(PARSLEYLOFT_PROGRAM) + " " + arguments + " >/dev/null 2>&1").c_str());
+    return static_cast<exit_code>(WEXITSTATUS(status));
+}
+
+auto reasonOf(const http_response &response) -> std::string
+{
+    return headerOf(response.headers, "Parsleyloft-Reason");
+}
+
+} // namespace
+
+TEST_CASE_METHOD(cluster, "wrong_requests_get_a_status_and_a_reason_and_are_not_run", "[process]")
+{
+    const auto unknownClass = callClass(*this, "host-1", "nothing", "r1", "");
+    CHECK(unknownClass.status == 404);
+    CHECK(reasonOf(unknownClass) == "unknown_class");
+    const auto withoutKey = callClass(*this, "host-1", "order", "r2", "");
+    CHECK(withoutKey.status == 400);
+    CHECK(reasonOf(withoutKey) == "missing_key");
+    const auto withoutId = callClass(*this, "host-1", "check", "", "");
+    CHECK(withoutId.status == 400);
+    CHECK(reasonOf(withoutId) == "missing_request_id");
+    const auto longKey = callClass(*this, "host-1", "order", "r3", std::string(600, 'k'));
+    CHECK(reasonOf(longKey) == "bad_request");
+    const auto tooLarge = postTo(*this, callerAddress(*this, "host-1"), "/v1/call/check",
+                                 std::string(100'000, 'x'));
+    CHECK(tooLarge.status == 413);
+    for (const auto &response : {unknownClass, withoutKey, withoutId, longKey, tooLarge})
+        CHECK(headerOf(response.headers, "Parsleyloft-Outcome") == "not_run");
+}
+
+TEST_CASE_METHOD(cluster, "commands_of_operators_end_with_their_exit_codes", "[process]")
+{
+    const auto at = " --at " + callerAddress(*this, "host-2");
+    CHECK(runProgram("class list" + at) == exit_code::Success);
+    CHECK(runProgram("status --json" + at) == exit_code::Success);
+    CHECK(runProgram("dump" + at) == exit_code::Success);
+    CHECK(runProgram("class remove nothing" + at) == exit_code::NotFound);
+    CHECK(runProgram("class set x --service nowhere --max-wait-ms 5" + at) == exit_code::Usage);
+    CHECK(runProgram("domain out a --revision 1" + at) == exit_code::Conflict);
+    CHECK(runProgram("status --at 127.0.0.1:1") == exit_code::Unreachable);
+    CHECK(runProgram("call --class check" + at) == exit_code::Success);
+    CHECK(runProgram("call --class nothing" + at) == exit_code::Failed);
+    CHECK(runProgram("no-such-command") == exit_code::Usage);
+}
+
+TEST_CASE_METHOD(cluster, "settings_that_can_not_work_stop_the_host_with_a_clear_code", "[process]")
+{
+    const auto path = directory + "/wrong.json";
+    std::ofstream(path) << R"({"host_id": ""})";
+    CHECK(runProgram("check --settings " + path) == exit_code::Usage);
+    CHECK(runProgram("serve --settings " + path) == exit_code::Usage);
+    CHECK(runProgram("check --settings " + directory + "/none.json") == exit_code::Usage);
+    CHECK(runProgram("check --settings " + directory + "/host-1.json") == exit_code::Success);
+    // The ports of a host that is running.
+    CHECK(runProgram("serve --settings " + directory + "/host-1.json") == exit_code::Unreachable);
+}
+
+TEST_CASE_METHOD(cluster, "host_that_starts_without_the_platform_says_so_and_joins_its_peers",
+                 "[process]")
+{
+    setPlatformFaults(*this, R"({"down": true})");
+    sendSignal(*this, "host-6", SIGKILL);
+    awaitExit(*this, "host-6");
+    startHost(*this, "host-6");
+    awaitThat("the host serves", [&] { return allServed(*this); });
+    const auto dump = dumpOf(*this, "host-6");
+    REQUIRE(dump);
+    CHECK_FALSE(dump->store_reachable());
+    CHECK(callClass(*this, "host-6", "check", "r1", "").status == 200);
+    // An operator's change can't be stored now, and is refused as such.
+    CHECK(runProgram("domain out a --at " + callerAddress(*this, "host-6"))
+          == exit_code::Unreachable);
+}
+
+} // namespace parsleyloft
