--- a/lab/backend_stand_in.cpp
+++ b/lab/backend_stand_in.cpp
@@ -354,6 +354,7 @@
     if (!read)
         return plainResponse(400, read.error().detail);
     state.faults = faults;
+    state.draining = faults.drain();
     if (faults.turn_cold())
         state.answered = 0;
     return plainResponse(200, toJson(faults));
--- a/lab/platform_stand_in.cpp
+++ b/lab/platform_stand_in.cpp
@@ -65,6 +65,9 @@
     std::uint64_t nextNumber = 1;
     wire::PlatformFaults faults;
     call_counts calls;
+    // Calls of the present second, for the limits on rates.
+    instant secondBegan{};
+    call_counts inSecond;
     pcg32 random{20261204};
 };
 
@@ -206,10 +209,27 @@
     });
 }
 
+// Counts a call against the limit of the present second.
+auto overLimit(platform_state &state, bool isWrite) -> bool
+{
+    const auto now = monotonicNow();
+    if (now >= state.secondBegan + 1s) {
+        state.secondBegan = now;
+        state.inSecond = {};
+    }
+    auto &count = isWrite ? state.inSecond.writes : state.inSecond.reads;
+    const auto limit = isWrite ? state.faults.writes_per_second() : state.faults.reads_per_second();
+    return limit != 0 && ++count > limit;
+}
+
 auto handleKey(const shared_platform &state, http_request &request, const http_respond &respond)
         -> void
 {
     const auto key = std::string(pathOf(request.target).substr(keyPrefix.size()));
+    if (overLimit(*state, request.method == "PUT")) {
+        respond(textResponse(429, "over the rate"));
+        return;
+    }
     if (request.method == "PUT") {
         ++state->calls.writes;
         auto response = writeKeyNow(*state, key, request);
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -93,6 +93,18 @@
     CHECK(read("k")->index == 0);
 }
 
+TEST_CASE_METHOD(store_with_faults, "calls_over_the_rate_fail_without_effect", "[store]")
+{
+    setFaults(R"({"writes_per_second": 1})");
+    // Of three writes at least one falls into the second of another.
+    int failed = 0;
+    for (const auto *key : {"a", "b", "c"})
+        failed += write(key, "value", 0) ? 0 : 1;
+    CHECK(failed > 0);
+    setFaults("{}");
+    CHECK(write("d", "value", 0));
+}
+
 TEST_CASE_METHOD(store_with_faults, "watch_ends_when_the_key_changes", "[store]")
 {
     REQUIRE(write("k", "first", 0));
