--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -13,9 +13,12 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <netinet/in.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 extern char **environ;
 
@@ -26,13 +29,27 @@
 constexpr auto lookPeriod = std::chrono::milliseconds(50);
 constexpr auto patience = std::chrono::seconds(60);
 
-// Port ranges of test processes that run at once differ by their process ids.
-auto firstPort() -> std::uint16_t
+constexpr std::uint16_t portsPerRange = 100;
+
+// Claims a range of ports by binding its last one, so that no two tests that run at once
+// share a range. Returns the first port and the socket that holds the claim.
+auto claimPorts() -> std::pair<std::uint16_t, int>
 {
     constexpr int base = 10000;
     constexpr int ranges = 200;
-    constexpr int portsPerRange = 100;
-    return static_cast<std::uint16_t>(base + (getpid() % ranges) * portsPerRange);
+    for (int step = 0; step < ranges; ++step) {
+        const auto first = base + (getpid() + step) % ranges * portsPerRange;
+        const auto guard = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(first + portsPerRange - 1));
+        if (bind(guard, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0)
+            return {static_cast<std::uint16_t>(first), guard};
+        close(guard);
+    }
+    FAIL("no range of ports is free");
+    return {};
 }
 
 auto spawn(cluster &cluster, const std::string &name, const std::string &program,
@@ -120,7 +137,9 @@
     auto name = (std::filesystem::temp_directory_path() / "parsleyloft-XXXXXX").string();
     REQUIRE(mkdtemp(name.data()) != nullptr);
     directory = name;
-    plan = planDeployment(deployment, directory, firstPort());
+    const auto [firstPort, guard] = claimPorts();
+    portGuard = guard;
+    plan = planDeployment(deployment, directory, firstPort);
     spawn(*this, "platform", PARSLEYLOFT_LAB,
           {"platform", "--listen=" + plan.platformAddress,
            "--journal=" + directory + "/platform.journal"});
@@ -144,6 +163,7 @@
         waitpid(pid, nullptr, 0);
     }
     stopWorkers(*workers);
+    close(portGuard);
     if (std::getenv("PARSLEYLOFT_KEEP") == nullptr)
         std::filesystem::remove_all(directory);
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -29,6 +29,8 @@
     deployment_plan plan;
     std::string directory;
     std::map<std::string, pid_t> processes;
+    // Holds the claim on this cluster's range of ports. Not inherited by the processes.
+    int portGuard = -1;
     std::unique_ptr<worker_pool> workers = startWorkers(1);
     http_client client = makeHttpClient(*workers, 0);
 };
