--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -153,7 +153,7 @@
         startHost(*this, host.host_id());
     for (const auto &work : deployment.classes())
         setClass(*this, work);
-    awaitThat("all shards are owned", [this] { return allServed(*this); });
+    awaitThat("a new cluster owns all shards", [this] { return allServed(*this); });
 }
 
 cluster::~cluster()
