Clear a failed exchange's response in the HTTP client itself

The status of success was cleared in callAndWait alone; every other caller of sendHttp could still read 200 from an exchange that failed. The client now does it for all, and a test shows it.

--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -97,7 +97,9 @@
 TEST_CASE_METHOD(server_and_client, "address_without_listener_is_not_sent", "[http]")
 {
     at.port = 1;
-    CHECK(call({}).failure == http_failure::NotSent);
+    const auto ended = call({});
+    CHECK(ended.failure == http_failure::NotSent);
+    CHECK(ended.response.status == 0);
 }
 
 TEST_CASE_METHOD(server_and_client, "body_over_the_limit_is_refused_as_not_run", "[http]")
--- a/transport/blocking_call.cpp
+++ b/transport/blocking_call.cpp
@@ -12,11 +12,7 @@
     auto ended = promise->get_future();
     sendHttp(client, to, std::move(request), {timeout, {}},
              [promise](http_outcome outcome) { promise->set_value(std::move(outcome)); });
-    auto outcome = ended.get();
-    // The default status would look like a success that never came.
-    if (outcome.failure != http_failure::None)
-        outcome.response.status = 0;
-    return outcome;
+    return ended.get();
 }
 
 } // namespace parsleyloft
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -149,6 +149,16 @@
     co_return whole &&reusable;
 }
 
+// Hands the end to whoever waits for it. Nothing of a failed exchange's answer is kept.
+auto conclude(const http_callback &done, http_outcome &&ended) -> void
+{
+    if (ended.failure != http_failure::None) {
+        ended.response = {};
+        ended.response.status = 0;
+    }
+    done(std::move(ended));
+}
+
 // Everything that one request needs on its way.
 struct errand
 {
@@ -169,7 +179,7 @@
         stream = co_await connectTo(work.to, deadline);
     if (!stream) {
         ended.failure = http_failure::NotSent;
-        work.done(std::move(ended));
+        conclude(work.done, std::move(ended));
         co_return;
     }
     auto reusable = co_await exchangeOn(*stream, message, deadline, ended);
@@ -183,7 +193,7 @@
         stream->expires_never();
         keepIdle(*client, work.to, std::move(stream));
     }
-    work.done(std::move(ended));
+    conclude(work.done, std::move(ended));
 }
 
 } // namespace
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -28,6 +28,7 @@
 struct http_outcome
 {
     http_failure failure = http_failure::None;
+    // Invariant: its status is 0 unless failure is None, so that it never looks like success.
     http_response response;
 };
 
