Send frames between hosts in place of gRPC, let the larger hosts keep all queues

Cause: after growth most hosts have a tenth of a core and served 45 requests a second at 2 ms of processor time each; perf on loopback showed gRPC and its threads at about half of it. Keepers were drawn in proportion to processor shares, so that a host of 0.1 kept a queue of 500 permits a second, and each permit ranked all hosts anew. Change: the same schema in frames over one Asio connection; permits go back without a reply; keepers are the larger hosts, worked out once for each state of the hosts; a queue is sorted only when a server has room, and a request's times are set when it is admitted.

--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+// A host with less than this part of the largest processor share keeps queues only when the
+// larger ones are away.
+constexpr double smallShare = 0.5;
+
 // Weighted rendezvous hashing: the least distance wins in proportion to the share.
 auto distanceOf(const member_host &host, std::uint64_t seed) -> double
 {
@@ -18,6 +22,14 @@
     return -std::log(drawn) / host.processorShare;
 }
 
+auto largestShare(const std::map<host_id, member_host> &hosts) -> double
+{
+    double largest = 0;
+    for (const auto &[id, host] : hosts)
+        largest = std::max(largest, host.processorShare);
+    return largest;
+}
+
 } // namespace
 
 auto queueKeepers(const std::map<host_id, member_host> &hosts, const group_id &group)
@@ -26,6 +38,7 @@
     struct rank
     {
         bool elsewhere;
+        bool small;
         double distance;
         host_id host;
 
@@ -34,8 +47,10 @@
     std::vector<rank> ranks;
     ranks.reserve(hosts.size());
     const auto seed = stableHash(group.service + "/" + group.domain);
+    const auto small = smallShare * largestShare(hosts);
     for (const auto &[id, host] : hosts)
-        ranks.push_back({host.domain != group.domain, distanceOf(host, seed), id});
+        ranks.push_back({host.domain != group.domain, host.processorShare < small,
+                         distanceOf(host, seed), id});
     std::sort(ranks.begin(), ranks.end(),
               [](const rank &left, const rank &right) { return left < right; });
     std::vector<host_id> keepers;
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -7,7 +7,8 @@
 
 // The hosts that may keep the group's queue, the first choice first: those of the group's
 // own failure domain, then the others, each in an order that every host works out alike.
-// A host is first for as many groups as its share of a processor bears.
+// Hosts with less than half of the largest processor share come after the larger ones: all
+// requests for a group pass through its keeper.
 auto queueKeepers(const std::map<host_id, member_host> &hosts, const group_id &group)
         -> std::vector<host_id>;
 
--- a/decisions/permit_queue.cpp
+++ b/decisions/permit_queue.cpp
@@ -105,6 +105,12 @@
     return static_cast<double>(coldStartsIn(server, now)) < borne;
 }
 
+auto anyRoom(const permit_queue &queue, instant now) -> bool
+{
+    return std::any_of(queue.servers.begin(), queue.servers.end(),
+                       [&](const auto &one) { return hasRoom(queue, one.second, now); });
+}
+
 auto mayRun(const permit_server &server, const permit_request &request) -> bool
 {
     if (!server.usable)
@@ -115,23 +121,29 @@
             == request.excluded.end();
 }
 
-auto isLate(const permit_queue &queue, const permit_request &request, instant now) -> bool
+auto isLate(const permit_request &request, instant now) -> bool
 {
-    return now + typicalOf(queue, request.route) > request.targetEnds;
+    return now > request.lateFrom;
 }
 
 // A late request keeps its place for a while after the moment at which it became late.
-auto holdEnds(const permit_queue &queue, const permit_request &request) -> instant
+auto setTimes(const permit_queue &queue, permit_request &request) -> void
 {
     const auto target = request.targetEnds - request.arrived;
-    const auto becameLate = request.targetEnds - typicalOf(queue, request.route);
-    const auto from = std::max(becameLate, request.arrived);
-    return std::min(request.deadline, from + target / lateHoldDivisor);
+    request.lateFrom = request.targetEnds - typicalOf(queue, request.route);
+    const auto from = std::max(request.lateFrom, request.arrived);
+    request.heldUntil = std::min(request.deadline, from + target / lateHoldDivisor);
 }
 
 // The best server with room, unless waiting for a busy one is what meets the target.
 auto bestServer(permit_queue &queue, const permit_request &request, instant now) -> permit_server *
 {
+    if (!request.owner.empty()) {
+        const auto owner = queue.servers.find(request.owner);
+        const auto may = owner != queue.servers.end() && mayRun(owner->second, request)
+                && hasRoom(queue, owner->second, now);
+        return may ? &owner->second : nullptr;
+    }
     permit_server *best = nullptr;
     double bestCost = 0;
     auto onTimeElsewhere = false;
@@ -154,7 +166,7 @@
         return nullptr;
     const auto meets =
             now + expectedLatency(queue, *best, request.route, now) <= request.targetEnds;
-    return meets || !onTimeElsewhere || isLate(queue, request, now) ? best : nullptr;
+    return meets || !onTimeElsewhere || isLate(request, now) ? best : nullptr;
 }
 
 // Requests that can still meet their target go first, those whose target ends sooner before
@@ -169,10 +181,10 @@
     auto operator<=>(const urgency &) const = default;
 };
 
-auto urgencyOf(const permit_queue &queue, const permit_request &request, instant now) -> urgency
+auto urgencyOf(const permit_request &request, instant now) -> urgency
 {
     const auto due = request.targetEnds + request.priority * rankDelay;
-    return {isLate(queue, request, now), due, request.number};
+    return {isLate(request, now), due, request.number};
 }
 
 auto urgencyOrder(const permit_queue &queue, instant now) -> std::vector<permit_number>
@@ -180,7 +192,7 @@
     std::vector<urgency> ranks;
     ranks.reserve(queue.waiting.size());
     for (const auto &[number, request] : queue.waiting)
-        ranks.push_back(urgencyOf(queue, request, now));
+        ranks.push_back(urgencyOf(request, now));
     std::sort(ranks.begin(), ranks.end());
     std::vector<permit_number> order;
     order.reserve(ranks.size());
@@ -212,11 +224,11 @@
 auto countAhead(const permit_queue &queue, const permit_request &request, instant now)
         -> std::size_t
 {
-    const auto own = urgencyOf(queue, request, now);
+    const auto own = urgencyOf(request, now);
     const auto ahead =
             std::count_if(queue.waiting.begin(), queue.waiting.end(), [&](const auto &one) {
                 const auto sameLane = request.owner.empty() || one.second.owner == request.owner;
-                return sameLane && urgencyOf(queue, one.second, now) < own;
+                return sameLane && urgencyOf(one.second, now) < own;
             });
     return static_cast<std::size_t>(ahead);
 }
@@ -333,8 +345,9 @@
     return waitBehind(queue, owner, static_cast<std::size_t>(ahead), now);
 }
 
-auto admit(permit_queue &queue, const permit_request &request, instant now) -> refusal
+auto admit(permit_queue &queue, permit_request request, instant now) -> refusal
 {
+    setTimes(queue, request);
     if (now - queue.lastAsked > keeperGap)
         queue.coldFrom = now + coldWindow;
     queue.lastAsked = now;
@@ -345,15 +358,18 @@
     const auto wait = waitBehind(queue, request.owner, countAhead(queue, request, now), now);
     // A request that has another group to go to waits only where it will surely be in time.
     const auto counted = request.acceptLate ? wait : surenessFactor * wait;
-    if (wait > 0us && now + counted > holdEnds(queue, request))
+    if (wait > 0us && now + counted > request.heldUntil)
         return refusal::WouldBeLate;
-    queue.waiting[request.number] = request;
+    queue.waiting[request.number] = std::move(request);
     return refusal::None;
 }
 
 auto takePermits(permit_queue &queue, instant now) -> std::vector<given_permit>
 {
     std::vector<given_permit> permits;
+    // Most calls come while requests wait and no server has room.
+    if (queue.waiting.empty() || !anyRoom(queue, now))
+        return permits;
     for (const auto number : urgencyOrder(queue, now)) {
         const auto &request = queue.waiting.at(number);
         auto *server = bestServer(queue, request, now);
@@ -361,6 +377,8 @@
             continue;
         permits.push_back(give(queue, request, *server, now));
         queue.waiting.erase(number);
+        if (!anyRoom(queue, now))
+            break;
     }
     return permits;
 }
@@ -369,7 +387,7 @@
 {
     std::vector<refused_request> refused;
     for (const auto &[number, request] : queue.waiting) {
-        if (now >= holdEnds(queue, request))
+        if (now >= request.heldUntil)
             refused.push_back({number, refusal::Expired});
         else if (now >= request.answerBy)
             refused.push_back({number, refusal::AskAgain});
@@ -414,7 +432,7 @@
             next = at;
     };
     for (const auto &[number, request] : queue.waiting)
-        consider(std::min(holdEnds(queue, request), request.answerBy));
+        consider(std::min(request.heldUntil, request.answerBy));
     if (!queue.waiting.empty()) {
         for (const auto &[id, server] : queue.servers) {
             if (server.avoidUntil > now)
--- a/decisions/permit_queue.h
+++ b/decisions/permit_queue.h
@@ -59,6 +59,10 @@
     bool acceptLate = false;
     // Whoever asked takes silence beyond this for a loss.
     instant answerBy = instant::max();
+    // Set when the request is admitted, from the latency that is typical then: after the
+    // first it will be late, at the second it is refused.
+    instant lateFrom{};
+    instant heldUntil{};
 };
 
 enum class refusal : std::uint8_t {
@@ -166,7 +170,7 @@
 auto setPermitServers(permit_queue &queue, const std::vector<permit_server> &listed) -> void;
 
 // Takes in a request that waits from now on, or says why it can't.
-auto admit(permit_queue &queue, const permit_request &request, instant now) -> refusal;
+auto admit(permit_queue &queue, permit_request request, instant now) -> refusal;
 
 // Gives out the permits that are due, most urgent requests first.
 auto takePermits(permit_queue &queue, instant now) -> std::vector<given_permit>;
--- a/router/dump.cpp
+++ b/router/dump.cpp
@@ -1,7 +1,6 @@
 // The state of a routing host, given on request.
 #include "router/dump.h"
 
-#include "decisions/membership.h"
 #include "router/leadership.h"
 
 #include <algorithm>
@@ -78,7 +77,7 @@
         auto *shown = dump.mutable_table()->add_groups();
         shown->set_service(group.service);
         shown->set_failure_domain(group.domain);
-        shown->set_holder(queueKeepers(router.members.hosts, group).front());
+        shown->set_holder(keepersOf(router.members, group).front());
         shown->set_phase(wire::ASSIGNMENT_PHASE_HELD);
     }
 }
--- a/router/permits.cpp
+++ b/router/permits.cpp
@@ -1,7 +1,6 @@
 // Permits to send to backend servers, asked of the host that keeps a group's queue.
 #include "router/permits.h"
 
-#include "decisions/membership.h"
 #include "telemetry/event_log.h"
 
 namespace parsleyloft {
@@ -12,7 +11,6 @@
 // slack is for the way and its scheduling. So a silent keeper is found soon.
 constexpr duration answerTime = 150ms;
 constexpr duration answerSlack = 120ms;
-constexpr duration returnTimeout = 1s;
 // A keeper that did not answer is not asked for this long, doubled for each time in a row.
 constexpr duration firstSuspicion = 500ms;
 constexpr duration longestSuspicion = 4s;
@@ -144,7 +142,7 @@
 auto isFirstKeeper(router_process &router, const group_id &group) -> bool
 {
     const std::lock_guard guard(router.members.lock);
-    return queueKeepers(router.members.hosts, group).front() == router.self.id;
+    return keepersOf(router.members, group).front() == router.self.id;
 }
 
 auto askOwnQueue(router_process &router, const permit_ask &ask, const permit_callback &done) -> void
@@ -257,7 +255,7 @@
 {
     const auto now = monotonicNow();
     const std::lock_guard guard(router.members.lock);
-    for (const auto &host : queueKeepers(router.members.hosts, group)) {
+    for (const auto &host : keepersOf(router.members, group)) {
         const auto doubted = router.members.doubts.find(host);
         if (doubted == router.members.doubts.end() || doubted->second.until <= now)
             return router.members.hosts.at(host);
@@ -361,13 +359,9 @@
         message.set_slots(returned.load->slots);
         message.set_noise(returned.load->noise);
     }
-    callReturnPermit(router.peers, address, std::move(message), returnTimeout,
-                     [keeper = permit.keeper](const result<wire::PermitReturned> &ended) {
-                         // The permit then ends by its time.
-                         if (!ended)
-                             logEvent(log_level::Info, "permit_not_returned",
-                                      {{"peer", keeper}, {"detail", ended.error().detail}});
-                     });
+    // A permit that does not get back ends by its time.
+    if (!tellPermitReturned(router.peers, address, message))
+        logEvent(log_level::Info, "permit_not_returned", {{"peer", permit.keeper}});
 }
 
 auto answerPermitRequest(router_process &router, const wire::PermitRequest &request,
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -1,6 +1,8 @@
 // The shared tables of one host that routes on the platform.
 #include "router/router.h"
 
+#include "decisions/membership.h"
+
 namespace parsleyloft {
 
 auto currentSettings(const router_process &router) -> wire::HostSettings
@@ -15,6 +17,14 @@
     return router.routes.current;
 }
 
+auto keepersOf(members_table &members, const group_id &group) -> const std::vector<host_id> &
+{
+    auto &known = members.keepers[group];
+    if (known.empty())
+        known = queueKeepers(members.hosts, group);
+    return known;
+}
+
 auto repeatWhileRunning(router_process &router, duration period, void (*work)(router_process &))
         -> void
 {
--- a/router/router.h
+++ b/router/router.h
@@ -67,6 +67,8 @@
     std::mutex lock;
     // All guarded by lock. This host is always among them.
     std::map<host_id, member_host> hosts;
+    // Who keeps the queue of a group, by preference; worked out once for each state of hosts.
+    std::map<group_id, std::vector<host_id>> keepers;
     // Hosts that did not answer, until they are tried again.
     struct doubt
     {
@@ -230,6 +232,9 @@
     std::atomic<permit_number> nextPermit = 1;
 };
 
+// The hosts that may keep the group's queue, the first choice first. Called with the lock.
+auto keepersOf(members_table &members, const group_id &group) -> const std::vector<host_id> &;
+
 auto currentSettings(const router_process &router) -> wire::HostSettings;
 auto currentRoutes(router_process &router) -> shared_routes;
 
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -46,10 +46,8 @@
                                    peer_respond<wire::PermitReply> respond) {
         answerPermitRequest(router, request, std::move(respond));
     };
-    handlers.returnPermit = [&router](const wire::PermitReturn &returned,
-                                      const peer_respond<wire::PermitReturned> &respond) {
+    handlers.returnPermit = [&router](const wire::PermitReturn &returned) {
         answerPermitReturn(router, returned);
-        respond({});
     };
     handlers.sync = [&router](wire::SyncRequest request, peer_respond<wire::SyncReply> respond) {
         answerSync(router, std::move(request), std::move(respond));
@@ -103,7 +101,7 @@
     // Watches wait on connections of their own, so that no other call waits behind them.
     router.watches = router.store;
     router.watches.http = makeHttpClient(*router.workers, toStore);
-    router.peers = makePeerClient();
+    router.peers = makePeerClient(*router.workers);
 }
 
 using plain_handler = void (*)(router_process &, const http_request &, const http_respond &);
@@ -135,7 +133,7 @@
     if (!admin)
         return tl::unexpected(admin.error());
     router.adminServer = std::move(*admin);
-    auto peers = startPeerServer(settings.peer_address(), peerHandlers(router));
+    auto peers = startPeerServer(*router.workers, settings.peer_address(), peerHandlers(router));
     if (!peers)
         return tl::unexpected(peers.error());
     router.peerServer = std::move(*peers);
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -139,6 +139,7 @@
     std::string address;
     {
         const std::lock_guard guard(router.members.lock);
+        router.members.keepers.clear();
         const auto member =
                 item.deleted ? failure(error_code::NotFound, "gone") : decodeMember(id, item.value);
         if (member) {
@@ -177,6 +178,7 @@
 auto keepOnlyShared(router_process &router, const std::set<std::string> &present) -> void
 {
     const std::lock_guard guard(router.members.lock);
+    router.members.keepers.clear();
     std::erase_if(router.members.hosts, [&](const auto &one) {
         return one.first != router.self.id
                 && !present.contains(std::string(hostsPrefix) + one.first);
--- a/transport/peer_link.cpp
+++ b/transport/peer_link.cpp
@@ -1,267 +1,322 @@
-// Calls between entry hosts, by gRPC.
-#include "transport/peer_link.h"
-
-#include "generated/peer.grpc.pb.h"
+// Calls between entry hosts: the side that asks.
+#include "transport/peer_connection.h"
 
-#include <grpcpp/grpcpp.h>
+#include "transport/peer_link.h"
 
+#include <algorithm>
 #include <map>
-#include <mutex>
 
 namespace parsleyloft {
 
 namespace {
 
 // Bounds of the wait before a lost connection to a peer is tried again.
-constexpr int leastReconnectMs = 50;
-constexpr int mostReconnectMs = 500;
+constexpr duration firstReconnect = 50ms;
+constexpr duration longestReconnect = 500ms;
+// How often calls are looked through for those whose time is over.
+constexpr duration expiryLook = 20ms;
 
-// A connection that has gone silent is found by pings, while calls wait on it.
-constexpr int pingAfterMs = 1000;
-constexpr int pingTimeoutMs = 1000;
+// The connection to one peer.
+struct peer_channel
+{
+    // Empty while none stands.
+    shared_connection connection;
+    bool connecting = false;
+    instant nextConnect{};
+    duration pause = 0us;
+};
 
-template<typename request, typename reply>
-auto answerWith(grpc::CallbackServerContext *context, const request *message, reply *answer,
-                const std::function<void(request, peer_respond<reply>)> &handler)
-        -> grpc::ServerUnaryReactor *
+using reply_body = result<std::string>;
+
+struct waiting_call
 {
-    auto *reactor = context->DefaultReactor();
-    if (!handler) {
-        reactor->Finish({grpc::StatusCode::UNIMPLEMENTED, "not served by this host"});
-        return reactor;
-    }
-    handler(*message, [reactor, answer](reply ready) {
-        *answer = std::move(ready);
-        reactor->Finish(grpc::Status::OK);
-    });
-    return reactor;
-}
+    std::string address;
+    shared_connection over;
+    instant sentAt{};
+    instant deadline{};
+    std::function<void(reply_body)> done;
+};
 
-// The generated interface leaves no other way in than to derive from it.
-struct peer_service final : wire::Peer::CallbackService
+} // namespace
+
+struct peer_client::internals
 {
-    explicit peer_service(peer_handlers answers)
-        : handlers(std::move(answers))
+    explicit internals(worker_pool &workers)
+        : pool(workers)
     { }
 
-    auto Exchange(grpc::CallbackServerContext *context, const wire::ExchangeRequest *message,
-                  wire::ExchangeReply *answer) -> grpc::ServerUnaryReactor * override
-    {
-        return answerWith(context, message, answer, handlers.exchange);
-    }
+    worker_pool &pool;
+    std::mutex lock;
+    // All guarded by lock.
+    std::map<std::string, peer_channel> channels;
+    std::map<std::uint64_t, waiting_call> calls;
+    std::uint64_t nextCall = 1;
+    bool lookPlanned = false;
+};
 
-    auto Consent(grpc::CallbackServerContext *context, const wire::ConsentRequest *message,
-                 wire::ConsentReply *answer) -> grpc::ServerUnaryReactor * override
-    {
-        return answerWith(context, message, answer, handlers.consent);
-    }
+namespace {
 
-    auto Forward(grpc::CallbackServerContext *context, const wire::ForwardRequest *message,
-                 wire::ForwardReply *answer) -> grpc::ServerUnaryReactor * override
-    {
-        return answerWith(context, message, answer, handlers.forward);
-    }
+using shared_client = std::shared_ptr<peer_client::internals>;
 
-    auto AskPermit(grpc::CallbackServerContext *context, const wire::PermitRequest *message,
-                   wire::PermitReply *answer) -> grpc::ServerUnaryReactor * override
-    {
-        return answerWith(context, message, answer, handlers.askPermit);
+auto takeCall(peer_client::internals &client, std::uint64_t number, const shared_connection &over)
+        -> std::function<void(reply_body)>
+{
+    const std::lock_guard guard(client.lock);
+    const auto found = client.calls.find(number);
+    if (found == client.calls.end() || found->second.over != over)
+        return {};
+    auto done = std::move(found->second.done);
+    client.calls.erase(found);
+    return done;
+}
+
+auto takeReply(const shared_client &client, const shared_connection &over, wire::PeerFrame frame)
+        -> void
+{
+    const auto done = takeCall(*client, frame.call(), over);
+    // The time of a call may be over when its reply comes.
+    if (!done)
+        return;
+    if (frame.unserved())
+        done(failure(error_code::Unreachable, "not served by the peer"));
+    else
+        done(std::move(*frame.mutable_body()));
+}
+
+// Removes the calls that match, with their callbacks.
+template<typename predicate>
+auto takeCalls(peer_client::internals &client, predicate matches) -> std::vector<waiting_call>
+{
+    std::vector<waiting_call> taken;
+    for (auto one = client.calls.begin(); one != client.calls.end();) {
+        if (matches(one->second)) {
+            taken.push_back(std::move(one->second));
+            one = client.calls.erase(one);
+        } else {
+            ++one;
+        }
     }
+    return taken;
+}
 
-    auto ReturnPermit(grpc::CallbackServerContext *context, const wire::PermitReturn *message,
-                      wire::PermitReturned *answer) -> grpc::ServerUnaryReactor * override
+auto connect(const shared_client &client, const std::string &address) -> void;
+
+auto noteClosed(const shared_client &client, const std::string &address,
+                const shared_connection &closed, const std::string &why) -> void
+{
+    std::vector<waiting_call> ended;
     {
-        return answerWith(context, message, answer, handlers.returnPermit);
+        const std::lock_guard guard(client->lock);
+        auto &channel = client->channels[address];
+        if (channel.connection == closed)
+            channel.connection = nullptr;
+        ended = takeCalls(*client, [&](const auto &call) { return call.over == closed; });
     }
+    for (const auto &call : ended)
+        call.done(failure(error_code::Unknown, "connection to " + address + " ended: " + why));
+    // The next call should find a connection.
+    connect(client, address);
+}
 
-    auto Sync(grpc::CallbackServerContext *context, const wire::SyncRequest *message,
-              wire::SyncReply *answer) -> grpc::ServerUnaryReactor * override
+auto noteOpened(const shared_client &client, const std::string &address,
+                const shared_connection &opened) -> void
+{
     {
-        return answerWith(context, message, answer, handlers.sync);
+        const std::lock_guard guard(client->lock);
+        auto &channel = client->channels[address];
+        channel.connecting = false;
+        if (opened == nullptr) {
+            channel.pause = std::clamp(channel.pause * 2, firstReconnect, longestReconnect);
+            channel.nextConnect = monotonicNow() + channel.pause;
+            return;
+        }
+        channel.connection = opened;
+        channel.pause = 0us;
+        channel.nextConnect = monotonicNow() + firstReconnect;
     }
+    connection_handlers handlers;
+    // The connection drops its handlers when it closes.
+    handlers.onFrame = [client, opened](wire::PeerFrame frame) {
+        takeReply(client, opened, std::move(frame));
+    };
+    handlers.onClosed = [client, opened, address](const std::string &why) {
+        noteClosed(client, address, opened, why);
+    };
+    beginPeerConnection(opened, std::move(handlers));
+}
 
-    peer_handlers handlers;
-};
-
-struct peer_channel
+// Opens a connection unless one stands, is on its way, or was tried just now.
+auto connect(const shared_client &client, const std::string &address) -> void
 {
-    std::shared_ptr<grpc::Channel> channel;
-    std::shared_ptr<wire::Peer::Stub> stub;
-};
+    {
+        const std::lock_guard guard(client->lock);
+        auto &channel = client->channels[address];
+        if (channel.connection || channel.connecting || monotonicNow() < channel.nextConnect)
+            return;
+        channel.connecting = true;
+    }
+    const auto to = parseEndpoint(address);
+    if (!to) {
+        noteOpened(client, address, nullptr);
+        return;
+    }
+    openPeerConnection(client->pool, *to, [client, address](const shared_connection &opened) {
+        noteOpened(client, address, opened);
+    });
+}
 
-} // namespace
+auto endExpired(const shared_client &client) -> void;
 
-struct peer_server::internals
+// Called with the client's lock.
+auto planLook(const shared_client &client) -> void
 {
-    explicit internals(peer_handlers handlers)
-        : service(std::move(handlers))
-    { }
-
-    peer_service service;
-    std::unique_ptr<grpc::Server> server;
-};
+    if (client->calls.empty() || std::exchange(client->lookPlanned, true))
+        return;
+    postAfter(client->pool, expiryLook, [client] { endExpired(client); });
+}
 
-struct peer_client::internals
+// Closes the connection, and gives it to no later call.
+auto abandon(const shared_client &client, const waiting_call &call) -> void
 {
-    std::mutex lock;
-    // Guarded by lock.
-    std::map<std::string, peer_channel> channels;
-};
-
-namespace {
+    {
+        const std::lock_guard guard(client->lock);
+        auto &channel = client->channels[call.address];
+        if (channel.connection == call.over)
+            channel.connection = nullptr;
+    }
+    closePeerConnection(call.over, "silent");
+}
 
-auto channelTo(peer_client &client, const std::string &address) -> peer_channel
+auto endExpired(const shared_client &client) -> void
 {
-    const std::lock_guard guard(client.inside->lock);
-    auto &known = client.inside->channels[address];
-    if (known.channel)
-        return known;
-    grpc::ChannelArguments arguments;
-    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, leastReconnectMs);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, leastReconnectMs);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, mostReconnectMs);
-    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, pingAfterMs);
-    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, pingTimeoutMs);
-    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-    known.channel = grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
-                                              arguments);
-    known.stub = wire::Peer::NewStub(known.channel);
-    return known;
+    const auto now = monotonicNow();
+    std::vector<waiting_call> ended;
+    {
+        const std::lock_guard guard(client->lock);
+        client->lookPlanned = false;
+        ended = takeCalls(*client, [now](const auto &call) { return now >= call.deadline; });
+        planLook(client);
+    }
+    for (const auto &call : ended) {
+        // A connection may go silent for good without an error.
+        if (fromMicroseconds(call.over->heardAt) < call.sentAt)
+            abandon(client, call);
+        call.done(failure(error_code::TimedOut, "no reply in time"));
+    }
 }
 
-auto toError(const grpc::Status &status) -> error
+auto standingConnection(const shared_client &client, const std::string &address)
+        -> shared_connection
 {
-    const auto late = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
-    return {late ? error_code::TimedOut : error_code::Unknown, status.error_message()};
+    {
+        const std::lock_guard guard(client->lock);
+        if (auto &channel = client->channels[address]; channel.connection)
+            return channel.connection;
+    }
+    connect(client, address);
+    return nullptr;
 }
 
-template<typename request, typename reply>
-struct call
+auto registerCall(const shared_client &client, waiting_call call) -> std::uint64_t
 {
-    grpc::ClientContext context;
-    request message;
-    reply answer;
-    std::function<void(result<reply>)> done;
-};
+    const std::lock_guard guard(client->lock);
+    const auto number = client->nextCall++;
+    client->calls[number] = std::move(call);
+    planLook(client);
+    return number;
+}
 
-// Starts a call only over a connection that stands, so that a call which fails at once
-// is known not to have left.
-template<typename request, typename reply, typename method>
-auto startCall(peer_client &client, const std::string &address, request message, duration timeout,
-               std::function<void(result<reply>)> done, method start) -> void
+// Starts a call only over a connection that stands, so that a call which fails at once is
+// known not to have left.
+template<typename reply, typename request>
+auto startCall(peer_client &client, const std::string &address, wire::PeerMethod method,
+               const request &message, duration timeout, std::function<void(result<reply>)> done)
+        -> void
 {
-    const auto peer = channelTo(client, address);
-    if (peer.channel->GetState(true) != GRPC_CHANNEL_READY) {
+    const auto over = standingConnection(client.inside, address);
+    if (over == nullptr) {
         done(failure(error_code::Unreachable, "no connection to " + address));
         return;
     }
-    auto one = std::make_shared<call<request, reply>>();
-    one->message = std::move(message);
-    one->done = std::move(done);
-    one->context.set_deadline(std::chrono::system_clock::now() + timeout);
-    start(peer, one, [one, stub = peer.stub](const grpc::Status &status) {
-        if (status.ok())
-            one->done(std::move(one->answer));
-        else
-            one->done(tl::unexpected(toError(status)));
-    });
+    const auto now = monotonicNow();
+    wire::PeerFrame frame;
+    frame.set_method(method);
+    message.SerializeToString(frame.mutable_body());
+    frame.set_call(registerCall(
+            client.inside, {address, over, now, now + timeout, [done](const reply_body &ended) {
+                                reply decoded;
+                                if (!ended)
+                                    done(tl::unexpected(ended.error()));
+                                else if (decoded.ParseFromString(*ended))
+                                    done(std::move(decoded));
+                                else
+                                    done(failure(error_code::Unknown, "unreadable reply"));
+                            }}));
+    sendFrame(over, frame);
 }
 
 } // namespace
 
-auto startPeerServer(const std::string &address, peer_handlers handlers) -> result<peer_server>
-{
-    auto inside = std::make_shared<peer_server::internals>(std::move(handlers));
-    grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
-                               pingAfterMs / 2);
-    builder.RegisterService(&inside->service);
-    inside->server = builder.BuildAndStart();
-    if (!inside->server || port == 0)
-        return failure(error_code::Unreachable, address + ": can't listen for peers");
-    return peer_server{std::move(inside)};
-}
-
-auto stopPeerServer(peer_server &server, duration limit) -> void
-{
-    server.inside->server->Shutdown(std::chrono::system_clock::now() + limit);
-}
-
-auto makePeerClient() -> peer_client
+auto makePeerClient(worker_pool &pool) -> peer_client
 {
-    return {std::make_shared<peer_client::internals>()};
+    return {std::make_shared<peer_client::internals>(pool)};
 }
 
 auto connectPeer(peer_client &client, const std::string &address) -> void
 {
-    channelTo(client, address).channel->GetState(true);
+    connect(client.inside, address);
 }
 
-auto callExchange(peer_client &client, const std::string &address, wire::ExchangeRequest request,
-                  duration timeout, std::function<void(result<wire::ExchangeReply>)> done) -> void
+auto callExchange(peer_client &client, const std::string &address,
+                  const wire::ExchangeRequest &request, duration timeout,
+                  std::function<void(result<wire::ExchangeReply>)> done) -> void
 {
-    startCall<wire::ExchangeRequest, wire::ExchangeReply>(
-            client, address, std::move(request), timeout, std::move(done),
-            [](const auto &peer, const auto &one, auto finish) {
-                peer.stub->async()->Exchange(&one->context, &one->message, &one->answer, finish);
-            });
+    startCall<wire::ExchangeReply>(client, address, wire::PEER_METHOD_EXCHANGE, request, timeout,
+                                   std::move(done));
 }
 
-auto callConsent(peer_client &client, const std::string &address, wire::ConsentRequest request,
-                 duration timeout, std::function<void(result<wire::ConsentReply>)> done) -> void
+auto callConsent(peer_client &client, const std::string &address,
+                 const wire::ConsentRequest &request, duration timeout,
+                 std::function<void(result<wire::ConsentReply>)> done) -> void
 {
-    startCall<wire::ConsentRequest, wire::ConsentReply>(
-            client, address, std::move(request), timeout, std::move(done),
-            [](const auto &peer, const auto &one, auto finish) {
-                peer.stub->async()->Consent(&one->context, &one->message, &one->answer, finish);
-            });
+    startCall<wire::ConsentReply>(client, address, wire::PEER_METHOD_CONSENT, request, timeout,
+                                  std::move(done));
 }
 
-auto callForward(peer_client &client, const std::string &address, wire::ForwardRequest request,
-                 duration timeout, std::function<void(result<wire::ForwardReply>)> done) -> void
+auto callForward(peer_client &client, const std::string &address,
+                 const wire::ForwardRequest &request, duration timeout,
+                 std::function<void(result<wire::ForwardReply>)> done) -> void
 {
-    startCall<wire::ForwardRequest, wire::ForwardReply>(
-            client, address, std::move(request), timeout, std::move(done),
-            [](const auto &peer, const auto &one, auto finish) {
-                peer.stub->async()->Forward(&one->context, &one->message, &one->answer, finish);
-            });
+    startCall<wire::ForwardReply>(client, address, wire::PEER_METHOD_FORWARD, request, timeout,
+                                  std::move(done));
 }
 
-auto callAskPermit(peer_client &client, const std::string &address, wire::PermitRequest request,
-                   duration timeout, std::function<void(result<wire::PermitReply>)> done) -> void
+auto callAskPermit(peer_client &client, const std::string &address,
+                   const wire::PermitRequest &request, duration timeout,
+                   std::function<void(result<wire::PermitReply>)> done) -> void
 {
-    startCall<wire::PermitRequest, wire::PermitReply>(
-            client, address, std::move(request), timeout, std::move(done),
-            [](const auto &peer, const auto &one, auto finish) {
-                peer.stub->async()->AskPermit(&one->context, &one->message, &one->answer, finish);
-            });
+    startCall<wire::PermitReply>(client, address, wire::PEER_METHOD_ASK_PERMIT, request, timeout,
+                                 std::move(done));
 }
 
-auto callReturnPermit(peer_client &client, const std::string &address, wire::PermitReturn request,
-                      duration timeout, std::function<void(result<wire::PermitReturned>)> done)
-        -> void
+auto callSync(peer_client &client, const std::string &address, const wire::SyncRequest &request,
+              duration timeout, std::function<void(result<wire::SyncReply>)> done) -> void
 {
-    startCall<wire::PermitReturn, wire::PermitReturned>(
-            client, address, std::move(request), timeout, std::move(done),
-            [](const auto &peer, const auto &one, auto finish) {
-                peer.stub->async()->ReturnPermit(&one->context, &one->message, &one->answer,
-                                                 finish);
-            });
+    startCall<wire::SyncReply>(client, address, wire::PEER_METHOD_SYNC, request, timeout,
+                               std::move(done));
 }
 
-auto callSync(peer_client &client, const std::string &address, wire::SyncRequest request,
-              duration timeout, std::function<void(result<wire::SyncReply>)> done) -> void
+auto tellPermitReturned(peer_client &client, const std::string &address,
+                        const wire::PermitReturn &returned) -> bool
 {
-    startCall<wire::SyncRequest, wire::SyncReply>(
-            client, address, std::move(request), timeout, std::move(done),
-            [](const auto &peer, const auto &one, auto finish) {
-                peer.stub->async()->Sync(&one->context, &one->message, &one->answer, finish);
-            });
+    const auto over = standingConnection(client.inside, address);
+    if (over == nullptr)
+        return false;
+    wire::PeerFrame frame;
+    frame.set_method(wire::PEER_METHOD_RETURN_PERMIT);
+    returned.SerializeToString(frame.mutable_body());
+    sendFrame(over, frame);
+    return true;
 }
 
 } // namespace parsleyloft
