Pass the owners of keys on as changes, news paced by the number of hosts

Cause: each round of news sent every host each service's whole table of owners, 15 KB for 123 servers, two thirds of it across failure domains; rounds came every 8 ms while servers changed. Change: a table keeps the place at which each slice became what it is, so that a host gets the slices it lacks; one that read the store, or another leadership's table, gets the whole. A round waits 1 ms for each host that listens, 8 to 150 ms. Moves are logged by key range, not by place in the list, which logged every later slice once more.

--- a/codec/shared_state_codec.cpp
+++ b/codec/shared_state_codec.cpp
@@ -3,28 +3,45 @@
 
 #include "generated/shared_state.pb.h"
 
+#include <map>
+
 namespace parsleyloft {
 
 namespace {
 
-// The place of an owner in the list, counted from 1; it is added when it is new.
-auto placeOf(wire::OwnershipRecord &record, const key_owner &owner) -> std::uint32_t
+using owner_places = std::map<std::pair<server_id, std::int64_t>, std::uint32_t>;
+
+// The place of an owner in the message's list, counted from 1; it is added when it is new.
+template<typename message>
+auto placeOf(message &record, owner_places &places, const key_owner &owner) -> std::uint32_t
 {
     if (owner.id.empty())
         return 0;
-    for (int index = 0; index < record.owners_size(); ++index) {
-        const auto &known = record.owners(index);
-        if (known.server_id() == owner.id && known.born_ms() == owner.bornMs)
-            return static_cast<std::uint32_t>(index + 1);
-    }
+    auto &place = places[{owner.id, owner.bornMs}];
+    if (place != 0)
+        return place;
     auto *added = record.add_owners();
     added->set_server_id(owner.id);
     added->set_born_ms(owner.bornMs);
     added->set_address(owner.address.address + ":" + std::to_string(owner.address.port));
-    return static_cast<std::uint32_t>(record.owners_size());
+    place = static_cast<std::uint32_t>(record.owners_size());
+    return place;
 }
 
-auto ownerAt(const wire::OwnershipRecord &record, std::uint32_t place) -> result<key_owner>
+template<typename message>
+auto encodeSlice(message &record, owner_places &places, const key_slice &slice,
+                 wire::SliceRecord &to) -> void
+{
+    to.set_to(slice.to);
+    to.set_phase(static_cast<std::uint32_t>(slice.phase));
+    to.set_fence(slice.fence);
+    to.set_owner(placeOf(record, places, slice.owner));
+    to.set_previous(placeOf(record, places, slice.previous));
+    to.set_previous_fence(slice.previousFence);
+}
+
+template<typename message>
+auto ownerAt(const message &record, std::uint32_t place) -> result<key_owner>
 {
     if (place == 0)
         return key_owner{};
@@ -37,8 +54,9 @@
     return key_owner{owner.server_id(), owner.born_ms(), *address};
 }
 
-auto decodeSlice(const wire::OwnershipRecord &record, const wire::SliceRecord &message,
-                 key_number from) -> result<key_slice>
+template<typename record_message>
+auto decodeSlice(const record_message &record, const wire::SliceRecord &message, key_number from)
+        -> result<key_slice>
 {
     const auto owner = ownerAt(record, message.owner());
     const auto previous = ownerAt(record, message.previous());
@@ -68,20 +86,42 @@
     record.set_next_fence(table.nextFence);
     record.set_led_since(table.ledSince);
     record.set_sequence(table.sequence);
-    for (const auto &slice : table.slices) {
-        const auto owner = placeOf(record, slice.owner);
-        const auto previous = placeOf(record, slice.previous);
-        auto *message = record.add_slices();
-        message->set_to(slice.to);
-        message->set_phase(static_cast<std::uint32_t>(slice.phase));
-        message->set_fence(slice.fence);
-        message->set_owner(owner);
-        message->set_previous(previous);
-        message->set_previous_fence(slice.previousFence);
-    }
+    owner_places places;
+    for (const auto &slice : table.slices)
+        encodeSlice(record, places, slice, *record.add_slices());
     return record.SerializeAsString();
 }
 
+auto toWire(const ownership_change &change) -> wire::OwnershipChange
+{
+    wire::OwnershipChange message;
+    message.set_service(change.service);
+    message.set_led_since(change.ledSince);
+    message.set_base(change.base);
+    message.set_sequence(change.sequence);
+    message.set_next_fence(change.nextFence);
+    owner_places places;
+    for (const auto &slice : change.slices) {
+        auto *added = message.add_slices();
+        added->set_from(slice.from);
+        encodeSlice(message, places, slice, *added->mutable_slice());
+    }
+    return message;
+}
+
+auto fromWire(const wire::OwnershipChange &message) -> result<ownership_change>
+{
+    ownership_change change{message.service(),  message.led_since(),  message.base(),
+                            message.sequence(), message.next_fence(), {}};
+    for (const auto &changed : message.slices()) {
+        const auto slice = decodeSlice(message, changed.slice(), changed.from());
+        if (!slice)
+            return tl::unexpected(slice.error());
+        change.slices.push_back(*slice);
+    }
+    return change;
+}
+
 auto decodeOwnership(const std::string &value) -> result<ownership_table>
 {
     wire::OwnershipRecord record;
--- a/codec/shared_state_codec.h
+++ b/codec/shared_state_codec.h
@@ -2,7 +2,8 @@
 #pragma once
 
 #include "core/error.h"
-#include "decisions/key_ownership.h"
+#include "decisions/ownership_news.h"
+#include "generated/shared_state.pb.h"
 
 namespace parsleyloft {
 
@@ -11,6 +12,11 @@
 // Fails with InvalidInput when the slices don't cover the keys once.
 auto decodeOwnership(const std::string &value) -> result<ownership_table>;
 
+auto toWire(const ownership_change &change) -> wire::OwnershipChange;
+
+// Fails with InvalidInput for a slice that is out of its range.
+auto fromWire(const wire::OwnershipChange &message) -> result<ownership_change>;
+
 auto encodeMember(const member_host &host) -> std::string;
 auto decodeMember(const host_id &id, const std::string &value) -> result<member_host>;
 
--- /dev/null
+++ b/decisions/ownership_news.cpp
@@ -0,0 +1,87 @@
+// What has changed between two tables of owners.
+#include "decisions/ownership_news.h"
+
+#include <algorithm>
+
+namespace parsleyloft {
+
+namespace {
+
+auto coversAllKeys(const std::vector<key_slice> &slices) -> bool
+{
+    key_number next = 0;
+    for (const auto &slice : slices) {
+        if (slice.from != next || slice.to < slice.from)
+            return false;
+        next = slice.to + 1;
+    }
+    return next == lastKey + 1;
+}
+
+// The place of the slice that begins with the key, if it is the same in both tables.
+auto placeOfSame(const ownership_table &table, const key_slice &slice) -> std::optional<std::size_t>
+{
+    const auto *before = findSlice(table, slice.from);
+    if (before == nullptr || *before != slice)
+        return std::nullopt;
+    return static_cast<std::size_t>(before - table.slices.data());
+}
+
+} // namespace
+
+auto followTable(const followed_ownership &known, ownership_table next, table_source source)
+        -> followed_ownership
+{
+    followed_ownership followed;
+    followed.fromLeader = source == table_source::Leader;
+    const auto *before = known.table.get();
+    const auto goesOn = before != nullptr && known.fromLeader && before->ledSince == next.ledSince;
+    followed.since = goesOn ? known.since : next.sequence;
+    followed.changedAt.reserve(next.slices.size());
+    for (const auto &slice : next.slices) {
+        const auto same = goesOn ? placeOfSame(*before, slice) : std::nullopt;
+        followed.changedAt.push_back(same ? known.changedAt[*same] : next.sequence);
+    }
+    followed.table = std::make_shared<const ownership_table>(std::move(next));
+    return followed;
+}
+
+auto changeSince(const followed_ownership &known, std::uint64_t ledSince, std::uint64_t sequence)
+        -> std::optional<ownership_change>
+{
+    const auto &table = *known.table;
+    if (table.ledSince != ledSince || sequence < known.since || sequence > table.sequence)
+        return std::nullopt;
+    ownership_change change{table.service, ledSince, sequence, table.sequence, table.nextFence, {}};
+    for (std::size_t index = 0; index < table.slices.size(); ++index) {
+        if (known.changedAt[index] > sequence)
+            change.slices.push_back(table.slices[index]);
+    }
+    return change;
+}
+
+auto applyChange(const followed_ownership &known, const ownership_change &change)
+        -> result<ownership_table>
+{
+    if (known.table == nullptr || known.table->ledSince != change.ledSince
+        || known.table->sequence < change.base || !known.fromLeader)
+        return failure(error_code::InvalidInput, "the change is for another table");
+    ownership_table next;
+    next.service = change.service;
+    next.ledSince = change.ledSince;
+    next.sequence = change.sequence;
+    next.nextFence = change.nextFence;
+    auto changed = change.slices.begin();
+    for (const auto &slice : known.table->slices) {
+        while (changed != change.slices.end() && changed->from <= slice.to)
+            next.slices.push_back(*changed++);
+        const auto replaced = !next.slices.empty() && next.slices.back().to >= slice.from;
+        if (!replaced)
+            next.slices.push_back(slice);
+    }
+    if (!coversAllKeys(next.slices))
+        return failure(error_code::InvalidInput, "the changed slices leave a gap");
+    return next;
+}
+
+} // namespace parsleyloft
--- a/router/dump.cpp
+++ b/router/dump.cpp
@@ -85,8 +85,8 @@
 auto addKeys(router_process &router, wire::Dump &dump) -> void
 {
     const std::lock_guard guard(router.ownership.lock);
-    for (const auto &[service, table] : router.ownership.services) {
-        for (const auto &slice : table->slices) {
+    for (const auto &[service, known] : router.ownership.services) {
+        for (const auto &slice : known.table->slices) {
             auto *shown = dump.add_key_slices();
             shown->set_service(service);
             shown->set_from(slice.from);
--- a/router/group_choice.cpp
+++ b/router/group_choice.cpp
@@ -19,7 +19,7 @@
 {
     const std::lock_guard guard(router.ownership.lock);
     const auto found = router.ownership.services.find(service);
-    return found == router.ownership.services.end() ? nullptr : found->second;
+    return found == router.ownership.services.end() ? nullptr : found->second.table;
 }
 
 // The groups with a server that may run the request, this host's own failure domain first.
--- a/router/key_keeper.cpp
+++ b/router/key_keeper.cpp
@@ -57,7 +57,7 @@
         table = kept.keeper.table;
     }
     if (revision > 0)
-        adoptOwnership(router, std::move(table));
+        adoptOwnership(router, std::move(table), table_source::Leader);
 }
 
 // Reads the table as the store has it now: a leader plans from nothing older.
@@ -104,9 +104,9 @@
         -> void
 {
     double moved = 0;
-    for (std::size_t index = 0; index < after.slices.size(); ++index) {
-        const auto &slice = after.slices[index];
-        if (index < before.slices.size() && before.slices[index].fence == slice.fence)
+    for (const auto &slice : after.slices) {
+        const auto *known = findSlice(before, slice.from);
+        if (known != nullptr && known->fence == slice.fence)
             continue;
         ++moved;
         logEvent(log_level::Info, "owner_decided",
@@ -139,7 +139,7 @@
         noteStored(kept->second.keeper, stored, monotonicNow());
         table = kept->second.keeper.table;
     }
-    adoptOwnership(router, std::move(table));
+    adoptOwnership(router, std::move(table), table_source::Leader);
 }
 
 auto settleWrite(router_process &router, const service_name &service) -> void;
@@ -363,7 +363,7 @@
         if (round.load)
             loadTable(router, service, *leader);
         if (round.held)
-            adoptOwnership(router, *round.held);
+            adoptOwnership(router, *round.held, table_source::Leader);
         if (round.planned)
             writeTable(router, *round.planned, *leader, round.revision);
         for (const auto &order : round.orders)
--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -21,8 +21,12 @@
 // A leader that has not heard from the store for longer passes nothing on: with the next
 // look at it this stays well under the time in which a leaving server must be spared.
 constexpr duration staleAfter = 1300ms;
-// Changes that come together are passed on together.
-constexpr duration flushPause = 8ms;
+// Changes that come together are passed on together. Each round of news costs the leader a
+// message to every host, so that larger fleets hear less often; what has to be known soon
+// everywhere has 2 s or more.
+constexpr duration leastFlushPause = 8ms;
+constexpr duration flushPausePerHost = 1ms;
+constexpr duration mostFlushPause = 150ms;
 constexpr duration ownersReadPeriod = 1s;
 
 auto leaderAddress(router_process &router) -> std::string
@@ -43,25 +47,40 @@
                        [](const auto &follower) { return isCurrent(*follower); });
 }
 
+auto versionKnownTo(const wire::SyncRequest &request, const service_name &service)
+        -> wire::OwnersVersion
+{
+    for (const auto &version : request.owners()) {
+        if (version.service() == service)
+            return version;
+    }
+    return {};
+}
+
 auto addOwners(router_process &router, const wire::SyncRequest &request, wire::SyncReply &reply)
         -> void
 {
-    std::map<service_name, std::shared_ptr<const ownership_table>> tables;
+    std::vector<std::shared_ptr<const ownership_table>> whole;
     {
         const std::lock_guard guard(router.ownership.lock);
-        tables = router.ownership.services;
-    }
-    for (const auto &[service, table] : tables) {
-        ownership_table known;
-        for (const auto &version : request.owners()) {
-            if (version.service() == service) {
-                known.ledSince = version.led_since();
-                known.sequence = version.sequence();
-            }
+        for (const auto &[service, known] : router.ownership.services) {
+            const auto version = versionKnownTo(request, service);
+            ownership_table theirs;
+            theirs.ledSince = version.led_since();
+            theirs.sequence = version.sequence();
+            if (!isLater(*known.table, theirs))
+                continue;
+            const auto change = version.whole()
+                    ? std::nullopt
+                    : changeSince(known, version.led_since(), version.sequence());
+            if (change)
+                *reply.add_owner_changes() = toWire(*change);
+            else
+                whole.push_back(known.table);
         }
-        if (isLater(*table, known))
-            reply.add_owners(encodeOwnership(*table));
     }
+    for (const auto &table : whole)
+        reply.add_owners(encodeOwnership(*table));
 }
 
 auto addChanges(store_follower &follower, const wire::PrefixPosition &position,
@@ -101,7 +120,8 @@
 
 auto hasNews(const wire::SyncReply &reply) -> bool
 {
-    return !reply.current() || reply.changes_size() > 0 || reply.owners_size() > 0;
+    return !reply.current() || reply.changes_size() > 0 || reply.owners_size() > 0
+            || reply.owner_changes_size() > 0;
 }
 
 // Answers the waiting hosts that have something to hear, or whose time is over.
@@ -155,7 +175,7 @@
         for (const auto &item : ended->items) {
             auto table = decodeOwnership(item.value);
             if (table)
-                adoptOwnership(router, std::move(*table));
+                adoptOwnership(router, std::move(*table), table_source::Store);
             else
                 logEvent(log_level::Error, "ownership_unreadable",
                          {{"key", item.key}, {"detail", table.error().detail}});
@@ -163,8 +183,32 @@
     });
 }
 
+// A change that does not fit asks for the whole table with the next call.
+auto takeOwnerChange(router_process &router, const wire::OwnershipChange &message) -> void
+{
+    auto change = fromWire(message);
+    result<ownership_table> table = failure(error_code::InvalidInput, "unreadable");
+    if (change) {
+        const std::lock_guard guard(router.ownership.lock);
+        const auto known = router.ownership.services.find(change->service);
+        if (known != router.ownership.services.end()) {
+            table = applyChange(known->second, *change);
+            known->second.fromLeader = known->second.fromLeader && table;
+        }
+    }
+    if (table)
+        adoptOwnership(router, std::move(*table), table_source::Leader);
+    else
+        logEvent(log_level::Warn, "owner_change_not_applied",
+                 {{"service", message.service()},
+                  {"base", std::to_string(message.base())},
+                  {"detail", table.error().detail}});
+}
+
 auto takeReply(router_process &router, const wire::SyncReply &reply) -> void
 {
+    for (const auto &change : reply.owner_changes())
+        takeOwnerChange(router, change);
     for (const auto &changes : reply.changes()) {
         prefix_news news;
         news.at = changes.at();
@@ -179,7 +223,7 @@
     for (const auto &record : reply.owners()) {
         auto table = decodeOwnership(record);
         if (table)
-            adoptOwnership(router, std::move(*table));
+            adoptOwnership(router, std::move(*table), table_source::Leader);
         else
             logEvent(log_level::Error, "ownership_unreadable", {{"detail", table.error().detail}});
     }
@@ -195,11 +239,12 @@
         position->set_at(positionOf(*follower));
     }
     const std::lock_guard guard(router.ownership.lock);
-    for (const auto &[service, table] : router.ownership.services) {
+    for (const auto &[service, known] : router.ownership.services) {
         auto *version = request.add_owners();
         version->set_service(service);
-        version->set_led_since(table->ledSince);
-        version->set_sequence(table->sequence);
+        version->set_led_since(known.table->ledSince);
+        version->set_sequence(known.table->sequence);
+        version->set_whole(!known.fromLeader);
     }
     return request;
 }
@@ -261,12 +306,16 @@
 
 auto planFlush(router_process &router) -> void
 {
+    std::size_t hosts = 0;
     {
         const std::lock_guard guard(router.relay.lock);
-        if (router.relay.waiting.empty() || std::exchange(router.relay.flushPlanned, true))
+        hosts = router.relay.waiting.size();
+        if (hosts == 0 || std::exchange(router.relay.flushPlanned, true))
             return;
     }
-    postAfter(*router.workers, flushPause, [&router] { flushWaiting(router); });
+    const auto pause = std::clamp<duration>(flushPausePerHost * static_cast<std::int64_t>(hosts),
+                                            leastFlushPause, mostFlushPause);
+    postAfter(*router.workers, pause, [&router] { flushWaiting(router); });
 }
 
 auto answerExpiredWaits(router_process &router) -> void
--- a/router/router.h
+++ b/router/router.h
@@ -5,7 +5,7 @@
 // in this order. Locks are held around calls of decisions only, never around input or output.
 #pragma once
 
-#include "decisions/key_ownership.h"
+#include "decisions/ownership_news.h"
 #include "decisions/permit_queue.h"
 #include "decisions/repeat_budget.h"
 #include "decisions/route_table.h"
@@ -57,8 +57,8 @@
 struct ownership_tables
 {
     std::mutex lock;
-    // All guarded by lock.
-    std::map<service_name, std::shared_ptr<const ownership_table>> services;
+    // All guarded by lock. Each entry has a table.
+    std::map<service_name, followed_ownership> services;
     std::vector<parked_request> parked;
 };
 
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -220,15 +220,15 @@
     beginRelay(router);
 }
 
-auto adoptOwnership(router_process &router, ownership_table table) -> void
+auto adoptOwnership(router_process &router, ownership_table table, table_source source) -> void
 {
     std::vector<parked_request> resumed;
     {
         const std::lock_guard guard(router.ownership.lock);
         auto &known = router.ownership.services[table.service];
-        if (known && !isLater(table, *known))
+        if (known.table && !isLater(table, *known.table))
             return;
-        known = std::make_shared<const ownership_table>(std::move(table));
+        known = followTable(known, std::move(table), source);
         resumed.swap(router.ownership.parked);
     }
     planFlush(router);
--- a/router/site_sync.h
+++ b/router/site_sync.h
@@ -17,7 +17,7 @@
 auto beginSync(router_process &router) -> void;
 
 // Takes in a table of owners, unless a newer one is known. Requests that waited for it go on.
-auto adoptOwnership(router_process &router, ownership_table table) -> void;
+auto adoptOwnership(router_process &router, ownership_table table, table_source source) -> void;
 
 // Lets waiting requests look again whose time is over.
 auto resumeExpired(router_process &router) -> void;
