Ask a deputy for news while the leader is away, wait for the store by the lease's renewals

Cause: while no leader passed news on, every host watched three prefixes itself; during an outage all of them tried again up to once a second each. Each host that started read the whole list of servers, 8 calls. Change: hosts ask the leader, then its deputy (the first of the others that may lead), then the store. A host that starts reads the list of hosts and hears the rest from another. Three failed calls in a row of a follower wait until a renewal of the lease shows that the store answers. Watches of a host that passes nothing on pause 5 ms for each host of the fleet. The first calls to a peer wait for its connection: a process test whose host had just started was once refused in that millisecond. The process tests pass, 39 of 39.

--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -30,6 +30,25 @@
     return largest;
 }
 
+// True when the left host leads before the right one: larger hosts first.
+auto leadsBefore(const member_host &left, const member_host &right) -> bool
+{
+    if (left.processorShare != right.processorShare)
+        return left.processorShare > right.processorShare;
+    return std::pair(stableHash(left.id), left.id) < std::pair(stableHash(right.id), right.id);
+}
+
+auto firstToLead(const std::map<host_id, member_host> &hosts, const host_id &without)
+        -> const member_host *
+{
+    const member_host *first = nullptr;
+    for (const auto &[id, host] : hosts) {
+        if (id != without && (first == nullptr || leadsBefore(host, *first)))
+            first = &host;
+    }
+    return first;
+}
+
 } // namespace
 
 auto queueKeepers(const std::map<host_id, member_host> &hosts, const group_id &group)
@@ -60,18 +79,25 @@
     return keepers;
 }
 
+auto newsSources(const std::map<host_id, member_host> &hosts, const host_id &leader,
+                 const host_id &self) -> std::vector<host_id>
+{
+    std::vector<host_id> sources;
+    if (leader != self && hosts.contains(leader))
+        sources.push_back(leader);
+    const auto *deputy = firstToLead(hosts, leader);
+    if (leader != self && deputy != nullptr && deputy->id != self)
+        sources.push_back(deputy->id);
+    return sources;
+}
+
 auto leadingRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t
 {
     const auto own = hosts.find(host);
     if (own == hosts.end())
         return hosts.size();
     const auto before = std::count_if(hosts.begin(), hosts.end(), [&](const auto &other) {
-        const auto theirs = other.second.processorShare;
-        const auto ours = own->second.processorShare;
-        if (theirs != ours)
-            return theirs > ours;
-        const auto hash = stableHash(other.first);
-        return std::pair(hash, other.first) < std::pair(stableHash(host), host);
+        return leadsBefore(other.second, own->second);
     });
     return static_cast<std::size_t>(before);
 }
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -12,6 +12,12 @@
 auto queueKeepers(const std::map<host_id, member_host> &hosts, const group_id &group)
         -> std::vector<host_id>;
 
+// Whom a host asks for news of the store: the leader, then the deputy, which is the first of the
+// others that may lead. The deputy itself asks the leader alone, so that no two hosts wait for
+// each other. An empty leader stands for none.
+auto newsSources(const std::map<host_id, member_host> &hosts, const host_id &leader,
+                 const host_id &self) -> std::vector<host_id>;
+
 // The place of a host among those that may lead, 0 for the first: larger hosts come first.
 auto leadingRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t;
 
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -68,6 +68,7 @@
             setIdle(router);
             return;
         }
+        noteStoreSeen(router);
         {
             const std::lock_guard guard(router.leadership.lock);
             router.leadership.lease = *ended;
--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -2,6 +2,7 @@
 #include "router/relay.h"
 
 #include "codec/shared_state_codec.h"
+#include "decisions/membership.h"
 #include "platform/site_decoder.h"
 #include "router/key_keeper.h"
 #include "router/leadership.h"
@@ -13,14 +14,24 @@
 
 namespace {
 
-// A host hears from its leader at least this often, and takes silence beyond it as a loss.
+// A host hears from its source at least this often, and takes silence beyond it as a loss. One
+// that has not passed on news just now has less time, so that a loss of the leader and its deputy
+// together is noticed within the time in which a leaving server must be spared.
 constexpr duration syncWait = 400ms;
+constexpr duration firstSyncWait = 300ms;
 constexpr duration syncSlack = 300ms;
-constexpr duration retryPause = 250ms;
+// A connection that is being opened stands by the next look.
+constexpr duration connectPause = 60ms;
+constexpr std::uint32_t mostUnconnected = 3;
+constexpr duration firstDoubt = 1s;
+constexpr duration longestDoubt = 4s;
+// Hosts that start together have announced themselves after this.
+constexpr duration hostsReadPeriod = 400ms;
+constexpr duration startPatience = 1500ms;
 constexpr duration leaderLook = 100ms;
-// A leader that has not heard from the store for longer passes nothing on: with the next
+// A host that has not heard from the store for longer passes nothing on: with the next
 // look at it this stays well under the time in which a leaving server must be spared.
-constexpr duration staleAfter = 1300ms;
+constexpr duration staleAfter = 1050ms;
 // Changes that come together are passed on together. Each round of news costs the leader a
 // message to every host, so that larger fleets hear less often; what has to be known soon
 // everywhere has 2 s or more.
@@ -29,19 +40,51 @@
 constexpr duration mostFlushPause = 150ms;
 constexpr duration ownersReadPeriod = 1s;
 
-auto leaderAddress(router_process &router) -> std::string
+struct news_source
 {
-    const std::lock_guard guard(router.members.lock);
-    if (router.members.leader == router.self.id)
-        return {};
-    const auto leader = router.members.hosts.find(router.members.leader);
-    return leader == router.members.hosts.end() ? std::string() : leader->second.peerAddress;
+    host_id id;
+    std::string address;
+};
+
+// The first host that may have news and is not in doubt, unless this one reads the store.
+auto nextSource(router_process &router) -> std::optional<news_source>
+{
+    const auto now = monotonicNow();
+    const std::scoped_lock guard(router.members.lock, router.relay.lock);
+    const auto &members = router.members;
+    for (const auto &id : newsSources(members.hosts, members.leader, router.self.id)) {
+        const auto doubted = router.relay.doubts.find(id);
+        if (doubted == router.relay.doubts.end() || doubted->second.until <= now)
+            return news_source{id, members.hosts.at(id).peerAddress};
+    }
+    return std::nullopt;
+}
+
+auto noteSourceLost(router_process &router, const host_id &id, const std::string &why) -> void
+{
+    logEvent(log_level::Info, "news_source_lost", {{"peer", id}, {"detail", why}});
+    const std::lock_guard guard(router.relay.lock);
+    auto &doubt = router.relay.doubts[id];
+    doubt.length = std::clamp(doubt.length * 2, firstDoubt, longestDoubt);
+    doubt.until = monotonicNow() + doubt.length;
+    router.relay.source.clear();
+    router.relay.unconnected = 0;
+}
+
+auto noteSource(router_process &router, const host_id &id) -> void
+{
+    const std::lock_guard guard(router.relay.lock);
+    if (router.relay.source != id)
+        logEvent(log_level::Info, "news_source", {{"peer", id}});
+    router.relay.doubts.erase(id);
+    router.relay.source = id;
+    router.relay.unconnected = 0;
 }
 
 auto mayPassOn(router_process &router) -> bool
 {
     const auto seen = fromMicroseconds(router.storeSeenAt);
-    if (!leadsNow(router) || monotonicNow() - seen > staleAfter)
+    if (router.relayed || monotonicNow() - seen > staleAfter)
         return false;
     return std::all_of(router.followers.begin(), router.followers.end(),
                        [](const auto &follower) { return isCurrent(*follower); });
@@ -118,10 +161,12 @@
     return reply;
 }
 
-auto hasNews(const wire::SyncReply &reply) -> bool
+// Whether the reply says anything. A host that asks for the first time waits for this one to
+// become current.
+auto hasNews(const wire::SyncRequest &request, const wire::SyncReply &reply) -> bool
 {
-    return !reply.current() || reply.changes_size() > 0 || reply.owners_size() > 0
-            || reply.owner_changes_size() > 0;
+    return (!reply.current() && !request.patient()) || reply.changes_size() > 0
+            || reply.owners_size() > 0 || reply.owner_changes_size() > 0;
 }
 
 // Answers the waiting hosts that have something to hear, or whose time is over.
@@ -137,7 +182,7 @@
     std::vector<waiting_host> kept;
     for (auto &host : waiting) {
         auto reply = makeReply(router, host.asked);
-        if (hasNews(reply) || now >= host.until)
+        if (hasNews(host.asked, reply) || now >= host.until)
             host.respond(std::move(reply));
         else
             kept.push_back(std::move(host));
@@ -150,9 +195,9 @@
 {
     if (router.relayed.exchange(relayed) == relayed)
         return;
-    logEvent(log_level::Info, relayed ? "news_from_leader" : "news_from_store", {});
     if (relayed)
         return;
+    logEvent(log_level::Info, "news_from_store", {});
     for (const auto &follower : router.followers)
         wakeFollower(follower);
 }
@@ -229,10 +274,11 @@
     }
 }
 
-auto makeRequest(router_process &router) -> wire::SyncRequest
+auto makeRequest(router_process &router, bool first) -> wire::SyncRequest
 {
     auto request = takeWorkReport(router);
-    request.set_wait_us(syncWait.count());
+    request.set_wait_us((first ? firstSyncWait : syncWait).count());
+    request.set_patient(first);
     for (const auto &follower : router.followers) {
         auto *position = request.add_positions();
         position->set_prefix(follower->prefix);
@@ -259,27 +305,93 @@
     });
 }
 
+// True while a host that has just started may still hear from another one. The one that leads
+// or will lead is waited for by the others.
+auto waitsForOthers(router_process &router) -> bool
+{
+    const auto now = monotonicNow();
+    const std::scoped_lock guard(router.members.lock, router.relay.lock);
+    if (router.directory.read || now >= router.relay.patientUntil)
+        return false;
+    const auto &members = router.members;
+    const auto settled = now >= router.relay.patientUntil - startPatience + hostsReadPeriod;
+    return !settled || leadingRank(members.hosts, router.self.id) > 0;
+}
+
+// Reads the list of hosts again: those that start together may have been missing.
+auto readHosts(router_process &router) -> void
+{
+    {
+        const auto now = monotonicNow();
+        const std::lock_guard guard(router.relay.lock);
+        if (now < router.relay.nextHostsRead)
+            return;
+        router.relay.nextHostsRead = now + hostsReadPeriod;
+    }
+    for (const auto &follower : router.followers) {
+        if (follower->prefix == livePrefix)
+            beginFollowing(follower);
+    }
+}
+
+auto goOnAlone(router_process &router) -> void
+{
+    setRelayed(router, false);
+    if (leadsNow(router))
+        noteSync(router, takeWorkReport(router));
+    else
+        readOwners(router);
+    relayAgain(router, leaderLook);
+}
+
+// Whether the source should be asked once more, its connection is only being opened.
+auto isConnecting(router_process &router, const result<wire::SyncReply> &ended) -> bool
+{
+    if (ended || ended.error().code != error_code::Unreachable)
+        return false;
+    const std::lock_guard guard(router.relay.lock);
+    return ++router.relay.unconnected < mostUnconnected;
+}
+
+auto noteSyncEnd(router_process &router, const news_source &source,
+                 const result<wire::SyncReply> &ended) -> void
+{
+    if (ended && ended->current()) {
+        noteSource(router, source.id);
+        takeReply(router, *ended);
+        setRelayed(router, true);
+        relayAgain(router, 0us);
+        return;
+    }
+    if (isConnecting(router, ended)) {
+        relayAgain(router, connectPause);
+        return;
+    }
+    noteSourceLost(router, source.id, ended ? "has no news" : ended.error().detail);
+    relayAgain(router, 0us);
+}
+
 auto relayOnce(router_process &router) -> void
 {
-    const auto address = leaderAddress(router);
-    if (address.empty()) {
-        setRelayed(router, false);
-        if (leadsNow(router))
-            noteSync(router, takeWorkReport(router));
-        else
-            readOwners(router);
-        relayAgain(router, leaderLook);
+    const auto source = nextSource(router);
+    if (!source) {
+        if (waitsForOthers(router)) {
+            readHosts(router);
+            relayAgain(router, leaderLook);
+        } else {
+            goOnAlone(router);
+        }
         return;
     }
-    callSync(router.peers, address, makeRequest(router), syncWait + syncSlack,
-             [&router](const result<wire::SyncReply> &ended) {
-                 const auto current = ended && ended->current();
-                 if (current)
-                     takeReply(router, *ended);
-                 else
-                     readOwners(router);
-                 setRelayed(router, current);
-                 relayAgain(router, current ? duration(0) : retryPause);
+    auto first = true;
+    {
+        const std::lock_guard guard(router.relay.lock);
+        first = router.relay.source != source->id;
+    }
+    callSync(router.peers, source->address, makeRequest(router, first),
+             (first ? firstSyncWait : syncWait) + syncSlack,
+             [&router, source](const result<wire::SyncReply> &ended) {
+                 noteSyncEnd(router, *source, ended);
              });
 }
 
@@ -287,7 +399,13 @@
 
 auto beginRelay(router_process &router) -> void
 {
-    relayOnce(router);
+    {
+        const auto now = monotonicNow();
+        const std::lock_guard guard(router.relay.lock);
+        router.relay.patientUntil = now + startPatience;
+        router.relay.nextHostsRead = now + hostsReadPeriod;
+    }
+    relayAgain(router, connectPause);
 }
 
 auto answerSync(router_process &router, wire::SyncRequest request,
@@ -295,7 +413,7 @@
 {
     noteSync(router, request);
     auto reply = makeReply(router, request);
-    if (hasNews(reply)) {
+    if (hasNews(request, reply)) {
         respond(std::move(reply));
         return;
     }
@@ -320,11 +438,14 @@
 
 auto answerExpiredWaits(router_process &router) -> void
 {
+    const auto current = mayPassOn(router);
     {
         const auto now = monotonicNow();
         const std::lock_guard guard(router.relay.lock);
-        const auto due = std::any_of(router.relay.waiting.begin(), router.relay.waiting.end(),
-                                     [now](const auto &host) { return now >= host.until; });
+        const auto due = std::any_of(
+                router.relay.waiting.begin(), router.relay.waiting.end(), [&](const auto &host) {
+                    return now >= host.until || host.asked.patient() == current;
+                });
         if (!due)
             return;
     }
--- a/router/router.h
+++ b/router/router.h
@@ -62,6 +62,13 @@
     std::vector<parked_request> parked;
 };
 
+// A host that did not answer is left alone until then, longer each time in a row.
+struct host_doubt
+{
+    instant until{};
+    duration length = 0us;
+};
+
 struct members_table
 {
     std::mutex lock;
@@ -69,13 +76,8 @@
     std::map<host_id, member_host> hosts;
     // Who keeps the queue of a group, by preference; worked out once for each state of hosts.
     std::map<group_id, std::vector<host_id>> keepers;
-    // Hosts that did not answer, until they are tried again.
-    struct doubt
-    {
-        instant until{};
-        duration length = 0us;
-    };
-    std::map<host_id, doubt> doubts;
+    // Hosts that did not answer when they were asked for a permit.
+    std::map<host_id, host_doubt> doubts;
     host_id leader;
     store_revision leaderRevision = 0;
     // Since when there has been no leader, as far as this host knows.
@@ -128,8 +130,8 @@
     instant until{};
 };
 
-// How this host gets news of the store, and passes them on while it leads: the leader alone
-// watches the store, the others ask it, and watch for themselves when it does not answer.
+// How this host gets news of the store, and passes them on: the leader watches the store, the
+// others ask it, or its deputy while it does not answer, and at last watch for themselves.
 struct relay_table
 {
     std::mutex lock;
@@ -137,6 +139,16 @@
     std::vector<waiting_host> waiting;
     bool flushPlanned = false;
     instant nextOwnersRead{};
+    // Who passed on news last, or empty.
+    host_id source;
+    // Hosts that had no news, or did not answer.
+    std::map<host_id, host_doubt> doubts;
+    // Calls in a row that found no connection to the source.
+    std::uint32_t unconnected = 0;
+    // Until then a host that has just started waits for news of the others before it reads all
+    // from the store itself.
+    instant patientUntil{};
+    instant nextHostsRead{};
 };
 
 struct repeats_table
@@ -225,8 +237,8 @@
 
     // When the store last answered this host, in microseconds of its clock.
     std::atomic<std::int64_t> storeSeenAt = 0;
-    // True while the leader tells this host what is in the store.
-    std::atomic<bool> relayed = false;
+    // True while another host tells this one what is in the store, and before the first news.
+    std::atomic<bool> relayed = true;
     std::atomic<bool> draining = false;
     std::atomic<bool> stopping = false;
     std::atomic<permit_number> nextPermit = 1;
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-// Leases last 3 s; three renewals fit.
-constexpr duration renewPeriod = 900ms;
+// Leases last 3 s; four renewals fit. They also show a host that passes on news that it still
+// reaches the store.
+constexpr duration renewPeriod = 700ms;
 constexpr duration claimPeriod = 100ms;
 constexpr duration firstClaim = 300ms;
 constexpr duration keeperPeriod = 40ms;
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -215,8 +215,11 @@
 
 auto beginSync(router_process &router) -> void
 {
-    for (const auto &follower : router.followers)
-        beginFollowing(follower);
+    // The rest comes from another host where there is one.
+    for (const auto &follower : router.followers) {
+        if (follower->prefix == livePrefix)
+            beginFollowing(follower);
+    }
     beginRelay(router);
 }
 
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -16,6 +16,12 @@
 constexpr duration firstRetry = 100ms;
 constexpr duration longestRetry = 1s;
 constexpr std::uint32_t mostDoublings = 5;
+// Calls of a follower that fail in a row before it waits for the store to be seen again.
+constexpr std::uint32_t mostRetries = 3;
+constexpr duration resumeSpread = 200ms;
+// Far below the 2 s in which a leaving server has to be spared.
+constexpr duration watchPausePerHost = 5ms;
+constexpr duration longestWatchPause = 300ms;
 // Outages shorter than this lapse no announcement.
 constexpr duration noticedOutage = 500ms;
 // Servers that lapsed in an outage announce themselves again within about two seconds.
@@ -54,10 +60,15 @@
     {
         const std::lock_guard guard(self->lock);
         failures = ++self->failures;
+        // Renewals of the lease tell when the store is back, at a tenth of a call's price.
+        if (failures >= mostRetries)
+            self->whenSeen = again;
     }
     // A single cut watch is ordinary; the next call tells whether the store is away.
     if (failures > 1)
         noteStoreAway(self->router, why);
+    if (failures >= mostRetries)
+        return;
     const auto doubled = firstRetry * (1 << std::min(failures, mostDoublings));
     postAfter(*self->router.workers, jittered(std::min(doubled, longestRetry)), [self, again] {
         if (!self->router.stopping)
@@ -65,6 +76,39 @@
     });
 }
 
+// Goes on with the followers that wait for the store.
+auto resumeFollowers(router_process &router) -> void
+{
+    for (const auto &follower : router.followers) {
+        void (*again)(const shared_follower &) = nullptr;
+        {
+            const std::lock_guard guard(follower->lock);
+            again = std::exchange(follower->whenSeen, nullptr);
+        }
+        if (again == nullptr)
+            continue;
+        postAfter(*router.workers, jittered(resumeSpread), [follower, again] {
+            if (!follower->router.stopping)
+                again(follower);
+        });
+    }
+}
+
+// The whole fleet may watch while nobody passes news on: then each host watches less often.
+auto pauseBeforeWatch(store_follower &self) -> duration
+{
+    std::size_t hosts = 0;
+    {
+        const std::lock_guard guard(self.router.members.lock);
+        hosts = self.router.members.hosts.size();
+    }
+    const std::lock_guard guard(self.router.relay.lock);
+    if (!self.router.relay.waiting.empty())
+        return self.pause;
+    const auto shared = watchPausePerHost * static_cast<std::int64_t>(hosts);
+    return std::max(self.pause, std::min<duration>(shared, longestWatchPause));
+}
+
 // Keeps the item and hands it on, unless it is older than what is known.
 auto applyItem(store_follower &self, const store_item &item) -> void
 {
@@ -123,7 +167,7 @@
     }
     if (!heard.items.empty())
         planFlush(self->router);
-    postAfter(*self->router.workers, self->pause, [self] {
+    postAfter(*self->router.workers, pauseBeforeWatch(*self), [self] {
         if (!self->router.stopping)
             beginWatch(self);
     });
@@ -179,6 +223,10 @@
 
 auto beginFollowing(const std::shared_ptr<store_follower> &follower) -> void
 {
+    {
+        const std::lock_guard guard(follower->lock);
+        follower->idle = false;
+    }
     beginListing(follower);
 }
 
@@ -245,6 +293,7 @@
 {
     const auto now = monotonicNow();
     router.storeSeenAt = toMicroseconds(now);
+    resumeFollowers(router);
     const std::lock_guard guard(router.directory.lock);
     if (!router.directory.storeAwaySince)
         return;
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -20,7 +20,8 @@
 {
     router_process &router;
     std::string prefix;
-    // Before each next watch, so that changes that come together arrive with one call.
+    // Before each next watch, so that changes that come together arrive with one call. Longer at
+    // a host that passes nothing on.
     duration pause;
     follower_handlers handlers;
 
@@ -33,8 +34,10 @@
     store_revision at = 0;
     bool listed = false;
     // True while neither a watch nor a whole read is under way.
-    bool idle = false;
+    bool idle = true;
     std::uint32_t failures = 0;
+    // What goes on once the store answers again.
+    void (*whenSeen)(const std::shared_ptr<store_follower> &) = nullptr;
 };
 
 struct prefix_news
--- a/tests/decisions/attempt_rules_test.cpp
+++ b/tests/decisions/attempt_rules_test.cpp
@@ -153,4 +153,31 @@
     CHECK(ranks.size() == hosts.size());
 }
 
+TEST_CASE("no_two_hosts_wait_for_each_others_news_whoever_leads", "[membership]")
+{
+    std::map<host_id, member_host> hosts;
+    for (int index = 0; index < 7; ++index) {
+        const auto id = "h" + std::to_string(index);
+        hosts[id] = {id, "a", "10.0.0.1:1", index % 3 == 0 ? 0.5 : 0.1};
+    }
+    for (const auto &leader : {"h0", "h3", "h5", "gone", ""}) {
+        std::set<host_id> deputies;
+        for (const auto &[id, host] : hosts) {
+            const auto sources = newsSources(hosts, leader, id);
+            const auto leads = id == leader;
+            CHECK(sources.size() <= (leads ? 0U : 2U));
+            for (const auto &source : sources) {
+                if (source != leader)
+                    deputies.insert(source);
+            }
+        }
+        // All but the leader and the deputy itself have the same deputy, which asks the leader
+        // alone.
+        REQUIRE(deputies.size() == 1);
+        const auto own = newsSources(hosts, leader, *deputies.begin());
+        CHECK(own.size() == (hosts.contains(leader) ? 1U : 0U));
+        CHECK(hosts.at(*deputies.begin()).processorShare == 0.5);
+    }
+}
+
 } // namespace parsleyloft
--- a/transport/peer_connection.cpp
+++ b/transport/peer_connection.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t mostFrameBytes = 16U << 20U;
 // A peer that leaves so much unread does not read any more.
 constexpr std::size_t mostOutboxBytes = 32U << 20U;
-constexpr duration connectLimit = 1s;
+// A host in reach accepts within milliseconds, a busy one somewhat later.
+constexpr duration connectLimit = 300ms;
 // Sent bytes without an acknowledgement: the peer's host or the way to it is gone.
 constexpr unsigned unacknowledgedMs = 1000;
 
--- a/transport/peer_link.cpp
+++ b/transport/peer_link.cpp
@@ -22,8 +22,12 @@
     // Empty while none stands.
     shared_connection connection;
     bool connecting = false;
+    // True once an attempt to connect has ended.
+    bool tried = false;
     instant nextConnect{};
     duration pause = 0us;
+    // Who waits for the end of the first attempt.
+    std::vector<std::function<void(const shared_connection &)>> waiting;
 };
 
 using reply_body = result<std::string>;
@@ -118,22 +122,33 @@
     connect(client, address);
 }
 
+auto beginReading(const shared_client &client, const std::string &address,
+                  const shared_connection &opened) -> void;
+
 auto noteOpened(const shared_client &client, const std::string &address,
                 const shared_connection &opened) -> void
 {
+    std::vector<std::function<void(const shared_connection &)>> waiting;
     {
         const std::lock_guard guard(client->lock);
         auto &channel = client->channels[address];
+        const auto pause = std::clamp(channel.pause * 2, firstReconnect, longestReconnect);
         channel.connecting = false;
-        if (opened == nullptr) {
-            channel.pause = std::clamp(channel.pause * 2, firstReconnect, longestReconnect);
-            channel.nextConnect = monotonicNow() + channel.pause;
-            return;
-        }
+        channel.tried = true;
         channel.connection = opened;
-        channel.pause = 0us;
-        channel.nextConnect = monotonicNow() + firstReconnect;
+        channel.pause = opened == nullptr ? pause : 0us;
+        channel.nextConnect = monotonicNow() + pause;
+        waiting.swap(channel.waiting);
     }
+    if (opened != nullptr)
+        beginReading(client, address, opened);
+    for (const auto &use : waiting)
+        use(opened);
+}
+
+auto beginReading(const shared_client &client, const std::string &address,
+                  const shared_connection &opened) -> void
+{
     connection_handlers handlers;
     // The connection drops its handlers when it closes.
     handlers.onFrame = [client, opened](wire::PeerFrame frame) {
@@ -226,33 +241,64 @@
     return number;
 }
 
-// Starts a call only over a connection that stands, so that a call which fails at once is
-// known not to have left.
+auto sendCall(const shared_client &client, const shared_connection &over, waiting_call call,
+              wire::PeerFrame frame) -> void
+{
+    if (over == nullptr) {
+        call.done(failure(error_code::Unreachable, "no connection to " + call.address));
+        return;
+    }
+    call.over = over;
+    call.sentAt = monotonicNow();
+    frame.set_call(registerCall(client, std::move(call)));
+    sendFrame(over, frame);
+}
+
+// Hands on the connection that stands, or nothing. The first one is waited for.
+auto withConnection(const shared_client &client, const std::string &address,
+                    std::function<void(const shared_connection &)> use) -> void
+{
+    shared_connection standing;
+    {
+        const std::lock_guard guard(client->lock);
+        auto &channel = client->channels[address];
+        standing = channel.connection;
+        if (standing == nullptr && !channel.tried)
+            channel.waiting.push_back(std::exchange(use, nullptr));
+    }
+    if (standing == nullptr)
+        connect(client, address);
+    if (use)
+        use(standing);
+}
+
+// Starts a call only over a connection that stands, so that a call which fails as unreachable
+// is known not to have left.
 template<typename reply, typename request>
 auto startCall(peer_client &client, const std::string &address, wire::PeerMethod method,
                const request &message, duration timeout, std::function<void(result<reply>)> done)
         -> void
 {
-    const auto over = standingConnection(client.inside, address);
-    if (over == nullptr) {
-        done(failure(error_code::Unreachable, "no connection to " + address));
-        return;
-    }
-    const auto now = monotonicNow();
     wire::PeerFrame frame;
     frame.set_method(method);
     message.SerializeToString(frame.mutable_body());
-    frame.set_call(registerCall(
-            client.inside, {address, over, now, now + timeout, [done](const reply_body &ended) {
-                                reply decoded;
-                                if (!ended)
-                                    done(tl::unexpected(ended.error()));
-                                else if (decoded.ParseFromString(*ended))
-                                    done(std::move(decoded));
-                                else
-                                    done(failure(error_code::Unknown, "unreadable reply"));
-                            }}));
-    sendFrame(over, frame);
+    waiting_call call;
+    call.address = address;
+    call.deadline = monotonicNow() + timeout;
+    call.done = [done = std::move(done)](const reply_body &ended) {
+        reply decoded;
+        if (!ended)
+            done(tl::unexpected(ended.error()));
+        else if (decoded.ParseFromString(*ended))
+            done(std::move(decoded));
+        else
+            done(failure(error_code::Unknown, "unreadable reply"));
+    };
+    withConnection(client.inside, address,
+                   [inside = client.inside, call = std::move(call),
+                    frame = std::move(frame)](const shared_connection &over) mutable {
+                       sendCall(inside, over, std::move(call), std::move(frame));
+                   });
 }
 
 } // namespace
--- a/transport/peer_link.h
+++ b/transport/peer_link.h
@@ -50,7 +50,8 @@
 // Opens a connection to a peer that calls will go to, without waiting for it.
 auto connectPeer(peer_client &client, const std::string &address) -> void;
 
-// Errors: Unreachable when the call never left this host, TimedOut or Unknown otherwise.
+// Errors: Unreachable when the call never left this host, TimedOut or Unknown otherwise. The first
+// calls to a peer wait for its connection; when one is lost, later calls fail until it is back.
 auto callExchange(peer_client &client, const std::string &address,
                   const wire::ExchangeRequest &request, duration timeout,
                   std::function<void(result<wire::ExchangeReply>)> done) -> void;
