Count work key by key, level servers beside a key that none can bear

Work was counted by 64 keys, a key beyond any server's part made every other server look lightly loaded, and only the fullest server was looked at, which may hold one key that nobody else could bear either. Reports have a file of their own.

--- a/decisions/key_balance.h
+++ b/decisions/key_balance.h
@@ -1,7 +1,7 @@
 // Which keys should move between the owners of a service, so that each bears what it can.
 //
 // Busy keys lie close to one another and change within seconds, so ranges are cut where the
-// work is: a move takes as many buckets of keys as level two servers, rarely more.
+// work is: a move takes as many keys as level two servers, rarely more.
 #pragma once
 
 #include "core/site.h"
@@ -10,24 +10,24 @@
 
 namespace parsleyloft {
 
-// The finest division of the keys by which work is counted and ranges are cut.
-inline constexpr key_number keysPerBucket = 64;
-inline constexpr std::size_t keyBuckets = (lastKey + 1) / keysPerBucket;
-
-inline auto bucketOf(key_number key) -> std::size_t
-{
-    return key / keysPerBucket;
-}
-
 // How much work the keys and servers of a service bring, as the hosts saw it.
+// Invariant: keys rise, and shares has the part of all work up to and with each of them.
 struct key_load
 {
-    // Share of the service's work by bucket; empty when unknown.
-    std::vector<double> byBucket;
+    // The keys with work; empty when nothing is known.
+    std::vector<key_number> keys;
+    std::vector<double> shares;
+    // Ranges are cut before multiples of this.
+    key_number grain = 1;
     // How slow each server is compared with the others; 1 when unknown.
     std::map<server_id, double> slowness;
 };
 
+// Takes over the work by key, in any unit. A key counts for no more than a server's part of the
+// work: what goes beyond that can be neither split nor served, and would hide how uneven the
+// others are.
+auto setWork(key_load &load, const std::map<key_number, double> &work, std::size_t servers) -> void;
+
 // The share of the work that a range brings. Width counts a little too, so that idle ranges
 // are spread as well.
 auto shareOfKeys(const key_load &load, key_number from, key_number to) -> double;
--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -39,6 +39,12 @@
     return limits.hold + limits.hold * limits.clockRatePermille / 1000 + limits.holdSlack;
 }
 
+// The first ranges begin with multiples of this.
+constexpr key_number firstGrain = 64;
+// A range as narrow as this may be moved also when none is cut any more.
+constexpr key_number narrowRange = 64;
+// Servers for each move under way at a time, when there are many.
+constexpr std::size_t serversPerMove = 24;
 // A slowness beyond these says little: a stopped server, or a handful of answers.
 constexpr double leastSlowness = 0.5;
 constexpr double mostSlowness = 6;
@@ -115,9 +121,8 @@
         return std::nullopt;
     auto table = keeper.table;
     const auto count = static_cast<std::uint32_t>(listed.size()) * keeper.limits.slicesPerServer;
-    // Ranges begin with a bucket, so that their work is known.
-    const auto buckets = std::max<key_number>(1, static_cast<key_number>(keyBuckets) / count);
-    const auto width = buckets * keysPerBucket;
+    const auto width =
+            std::max<key_number>(firstGrain, (lastKey + 1) / count / firstGrain * firstGrain);
     for (std::uint32_t index = 0; index < count; ++index) {
         auto *taker = leastLoaded(listed);
         key_slice slice;
@@ -198,7 +203,7 @@
 {
     std::vector<owned_range> ranges;
     for (const auto &slice : table.slices) {
-        const auto whole = mayCut || slice.to - slice.from < keysPerBucket;
+        const auto whole = mayCut || slice.to - slice.from < narrowRange;
         ranges.push_back(
                 {slice.from, slice.to, slice.owner.id, whole && slice.phase == slice_phase::Held});
     }
@@ -216,7 +221,9 @@
     for (const auto &[id, one] : listed)
         bearers[id] = one.load;
     auto changed = false;
-    for (; pending < keeper.limits.movesAtOnce; ++pending) {
+    const auto most = std::max<std::ptrdiff_t>(
+            keeper.limits.movesAtOnce, static_cast<std::ptrdiff_t>(listed.size() / serversPerMove));
+    for (; pending < most; ++pending) {
         const auto mayCut = table.slices.size() < listed.size() * keeper.limits.mostSlicesPerServer;
         const auto move = chooseMove(movableRanges(table, mayCut), bearers, load);
         if (!move)
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -106,11 +106,11 @@
     std::int64_t clockRatePermille = 20;
     // Slack on top of a hold, for what the clocks and the way add.
     duration holdSlack = 200ms;
-    // Slices that a server gets when the table is first made.
+    // Slices that a server gets when the table is first made. Each slice costs a renewal.
     std::uint32_t slicesPerServer = 4;
     // Slices for each server beyond which none is cut any more.
     std::uint32_t mostSlicesPerServer = 14;
-    // Moves under way at a time to even out the load.
+    // Moves under way at a time to even out the load; more where there are many servers.
     std::uint32_t movesAtOnce = 3;
 };
 
--- a/router/key_keeper.cpp
+++ b/router/key_keeper.cpp
@@ -5,18 +5,15 @@
 #include "platform/server_messages.h"
 #include "router/leadership.h"
 #include "router/site_sync.h"
+#include "router/work_reports.h"
 #include "telemetry/event_log.h"
 
-#include <cmath>
+#include <algorithm>
 
 namespace parsleyloft {
 
 namespace {
 
-// Work that was reported so long ago counts half.
-constexpr duration workHalfLife = 2500ms;
-constexpr double leastWork = 100;
-constexpr double paceWeight = 0.3;
 // Slices marked as held are stored with the next change, or after this.
 constexpr duration storeHeldAfter = 1s;
 // Before the store is asked what became of a write that failed.
@@ -87,19 +84,6 @@
              });
 }
 
-auto keyedServices(router_process &router) -> std::vector<service_name>
-{
-    std::vector<service_name> keyed;
-    const auto routes = currentRoutes(router);
-    if (!routes)
-        return keyed;
-    for (const auto &[name, service] : routes->configuration.services) {
-        if (service.keyed)
-            keyed.push_back(name);
-    }
-    return keyed;
-}
-
 auto logMoves(router_process &router, const ownership_table &before, const ownership_table &after)
         -> void
 {
@@ -254,6 +238,14 @@
     bool load = false;
 };
 
+auto countServers(const server_directory &directory, const service_name &service) -> std::size_t
+{
+    const auto count =
+            std::count_if(directory.entries.begin(), directory.entries.end(),
+                          [&](const auto &one) { return one.second.record.service == service; });
+    return static_cast<std::size_t>(count);
+}
+
 auto planRound(router_process &router, const service_name &service, store_revision leader)
         -> service_round
 {
@@ -282,6 +274,7 @@
     }
     if (kept.writing)
         return round;
+    refreshLoad(router, service, countServers(directory, service), now);
     round.planned = planOwnership(kept.keeper, directory, router.work.heard[service], now);
     if (!round.planned && kept.behindSince && now - *kept.behindSince >= storeHeldAfter)
         round.planned = kept.keeper.table;
@@ -295,59 +288,6 @@
     router.leadership.kept.clear();
 }
 
-auto fadeAndAdd(reported_work &host, const wire::ServiceWork &reported, instant now) -> void
-{
-    const auto age = std::chrono::duration<double>(now - host.at).count();
-    const auto kept = std::exp2(-age / std::chrono::duration<double>(workHalfLife).count());
-    host.at = now;
-    auto &known = host.buckets;
-    for (auto &[bucket, amount] : known)
-        amount *= kept;
-    std::erase_if(known, [](const auto &one) { return one.second < leastWork; });
-    for (const auto &one : reported.buckets()) {
-        if (one.bucket() < keyBuckets)
-            known[one.bucket()] += one.work_us();
-    }
-}
-
-// Each bucket's share of all the work, or nothing while there is none.
-auto shareByBucket(const std::map<host_id, reported_work> &hosts) -> std::vector<double>
-{
-    std::vector<double> shares(keyBuckets, 0);
-    double total = 0;
-    for (const auto &[host, reported] : hosts) {
-        for (const auto &[bucket, amount] : reported.buckets) {
-            shares[bucket] += amount;
-            total += amount;
-        }
-    }
-    if (total <= 0)
-        return {};
-    for (auto &share : shares)
-        share /= total;
-    return shares;
-}
-
-auto paceOfOwnQueues(router_process &router, std::map<service_name, wire::ServiceWork> &work)
-        -> void
-{
-    std::vector<std::pair<group_id, std::shared_ptr<group_queue_table>>> groups;
-    {
-        const std::lock_guard guard(router.groups.lock);
-        groups.assign(router.groups.byId.begin(), router.groups.byId.end());
-    }
-    for (const auto &[id, group] : groups) {
-        const std::lock_guard guard(group->lock);
-        if (work.contains(id.service)) {
-            for (const auto &[server, state] : group->queue.servers) {
-                auto *pace = work[id.service].add_servers();
-                pace->set_server_id(server);
-                pace->set_slowness(state.slowness);
-            }
-        }
-    }
-}
-
 } // namespace
 
 auto keepOwners(router_process &router) -> void
@@ -371,46 +311,4 @@
     }
 }
 
-auto takeWorkReport(router_process &router) -> wire::SyncRequest
-{
-    wire::SyncRequest report;
-    report.set_host_id(router.self.id);
-    std::map<service_name, wire::ServiceWork> work;
-    for (const auto &service : keyedServices(router))
-        work[service].set_service(service);
-    {
-        const std::lock_guard guard(router.work.lock);
-        for (const auto &[service, buckets] : router.work.asked) {
-            for (const auto &[bucket, amount] : buckets) {
-                auto *message = work[service].add_buckets();
-                message->set_bucket(static_cast<std::uint32_t>(bucket));
-                message->set_work_us(amount);
-            }
-        }
-        router.work.asked.clear();
-    }
-    paceOfOwnQueues(router, work);
-    for (auto &[service, one] : work) {
-        one.set_service(service);
-        *report.add_services() = std::move(one);
-    }
-    return report;
-}
-
-auto noteSync(router_process &router, const wire::SyncRequest &report) -> void
-{
-    const auto now = monotonicNow();
-    const std::lock_guard guard(router.work.lock);
-    for (const auto &service : report.services()) {
-        auto &hosts = router.work.reported[service.service()];
-        fadeAndAdd(hosts[report.host_id()], service, now);
-        auto &load = router.work.heard[service.service()];
-        load.byBucket = shareByBucket(hosts);
-        for (const auto &server : service.servers()) {
-            auto &known = load.slowness.try_emplace(server.server_id(), 1).first->second;
-            known += paceWeight * (server.slowness() - known);
-        }
-    }
-}
-
 } // namespace parsleyloft
--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -4,10 +4,10 @@
 #include "codec/shared_state_codec.h"
 #include "decisions/membership.h"
 #include "platform/site_decoder.h"
-#include "router/key_keeper.h"
 #include "router/leadership.h"
 #include "router/site_sync.h"
 #include "router/store_follower.h"
+#include "router/work_reports.h"
 #include "telemetry/event_log.h"
 
 namespace parsleyloft {
--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -72,8 +72,7 @@
     const auto typical = known == flow.router.work.typical.end()
             ? flow.way->target / firstTypicalDivisor
             : known->second;
-    flow.router.work.asked[flow.service][bucketOf(*flow.asked.key)] +=
-            static_cast<double>(typical.count());
+    flow.router.work.asked[flow.service][*flow.asked.key] += static_cast<double>(typical.count());
 }
 
 // Marks the flow as ended. Returns false when it had ended before.
--- a/router/router.h
+++ b/router/router.h
@@ -158,24 +158,28 @@
     std::map<service_name, repeat_budget> services;
 };
 
-// Work that callers asked for, by service and bucket of keys, in microseconds.
-using bucket_work = std::map<std::size_t, double>;
+// Work that callers asked for by key, in microseconds.
+using work_by_key = std::map<key_number, double>;
 
+// What all hosts reported of a service's keys. Older work counts less: amounts are kept as
+// multiples of a unit that grows with time.
 struct reported_work
 {
-    bucket_work buckets;
-    instant at{};
+    work_by_key keys;
+    instant unitSince{};
+    // When the load was last worked out from this.
+    instant usedAt{};
 };
 
 struct work_table
 {
     std::mutex lock;
     // All guarded by lock. Since the last report to the leader.
-    std::map<service_name, bucket_work> asked;
+    std::map<service_name, work_by_key> asked;
     // Smoothed latency of each route at this host, for what a request will bring.
     std::map<route_name, duration> typical;
-    // At the leader: what each host reported, fading, and what that comes to.
-    std::map<service_name, std::map<host_id, reported_work>> reported;
+    // At the leader: what the hosts reported, and what that comes to.
+    std::map<service_name, reported_work> reported;
     std::map<service_name, key_load> heard;
 };
 
--- a/tests/decisions/key_balance_test.cpp
+++ b/tests/decisions/key_balance_test.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Work that is known by buckets of keys, which are not cut.
+constexpr key_number bucketKeys = 64;
+constexpr key_number buckets = (lastKey + 1) / bucketKeys;
+
 struct service_with_keys
 {
     // Four ranges a server, dealt in turn.
@@ -20,7 +24,7 @@
         }
         for (int index = 0; index < count; ++index)
             due["s" + std::to_string(index)] = 1.0 / count;
-        load.byBucket.assign(keyBuckets, 0);
+        load.grain = bucketKeys;
     }
 
     // Moves ranges until no move is worth it. Returns the number of moves.
@@ -76,16 +80,26 @@
 };
 
 // Busy keys beside one another, falling off as a power law.
-auto setSkew(key_load &load) -> void
+auto setSkew(key_load &load, std::size_t servers = 8) -> void
 {
-    double total = 0;
-    for (std::size_t index = 0; index < keyBuckets; ++index) {
-        const auto rank = static_cast<double>((index + keyBuckets - 257) % keyBuckets) + 1;
-        load.byBucket[index] = std::pow(rank, -0.7);
-        total += load.byBucket[index];
+    std::map<key_number, double> work;
+    for (key_number index = 0; index < buckets; ++index) {
+        const auto rank = static_cast<double>((index + buckets - 257) % buckets) + 1;
+        work[index * bucketKeys] = std::pow(rank, -0.7);
     }
-    for (auto &share : load.byBucket)
-        share /= total;
+    setWork(load, work, servers);
+}
+
+// The same work in every bucket, and more in some.
+auto setEven(key_load &load, double total, const std::map<key_number, double> &more = {},
+             std::size_t servers = 8) -> void
+{
+    std::map<key_number, double> work;
+    for (key_number index = 0; index < buckets; ++index)
+        work[index * bucketKeys] = total / buckets;
+    for (const auto &[index, share] : more)
+        work[index * bucketKeys] += share;
+    setWork(load, work, servers);
 }
 
 auto ownerOf(const service_with_keys &service, key_number key) -> server_id
@@ -111,7 +125,7 @@
 
 TEST_CASE_METHOD(service_with_keys, "even_load_moves_nothing", "[balance]")
 {
-    load.byBucket.assign(keyBuckets, 1.0 / keyBuckets);
+    setEven(load, 1);
     CHECK(settle() == 0);
 }
 
@@ -119,18 +133,17 @@
 {
     due["s0"] = 0.05;
     due["s1"] = 0.20;
-    load.byBucket.assign(keyBuckets, 0.6 / keyBuckets);
     // The hot key begins at the slow server.
-    load.byBucket[3] += 0.4;
+    setEven(load, 0.6, {{3, 0.4}});
     settle();
-    const auto owner = ownerOf(*this, 3 * keysPerBucket);
+    const auto owner = ownerOf(*this, 3 * bucketKeys);
     CHECK(owner == "s1");
     CHECK(bearers().at(owner).has < 0.45);
 }
 
 TEST_CASE_METHOD(service_with_keys, "server_that_joins_gets_its_share", "[balance]")
 {
-    load.byBucket.assign(keyBuckets, 1.0 / keyBuckets);
+    setEven(load, 1);
     due["new"] = 1.0 / 8;
     settle();
     CHECK(bearers().at("new").has > 0.06);
@@ -138,12 +151,56 @@
 
 TEST_CASE_METHOD(service_with_keys, "slowed_server_keeps_what_it_can_bear", "[balance]")
 {
-    load.byBucket.assign(keyBuckets, 1.0 / keyBuckets);
+    setEven(load, 1);
     due["s3"] = 1.0 / 8 / 5;
     settle();
     CHECK(bearers().at("s3").has < 0.06);
 }
 
+// Many servers, and a few keys side by side that bring nearly half of the work.
+struct large_service_with_hot_keys : service_with_keys
+{
+    large_service_with_hot_keys()
+        : service_with_keys(128)
+    {
+        load.grain = 1;
+        std::map<key_number, double> work;
+        for (key_number key = 0; key <= lastKey; key += 16)
+            work[key] = 0.57 / 4096;
+        for (key_number key = 20000; key < 20060; ++key)
+            work[key] += 0.43 / 60;
+        setWork(load, work, 128);
+    }
+};
+
+TEST_CASE_METHOD(large_service_with_hot_keys, "hot_keys_side_by_side_are_spread_key_by_key",
+                 "[balance]")
+{
+    CHECK(worst() > 40);
+    const auto moves = settle();
+    // One key alone brings nine tenths of what a server should bear.
+    CHECK(worst() <= 1.5);
+    CHECK(moves <= 240);
+}
+
+TEST_CASE_METHOD(service_with_keys, "uneven_servers_are_levelled_beside_a_key_that_none_can_bear",
+                 "[balance]")
+{
+    // One key asks for what five servers could do; a ninth of the other buckets bring half of the
+    // rest.
+    std::map<key_number, double> more{{700, 2}};
+    for (key_number bucket = 0; bucket < buckets / 9; ++bucket)
+        more[bucket] = 0.6 / (buckets / 9.0);
+    setEven(load, 0.6, more);
+    settle();
+    const auto hot = ownerOf(*this, 700 * bucketKeys);
+    for (const auto &[server, one] : bearers()) {
+        CHECK(one.has / one.due <= 1.5);
+        if (server == hot)
+            CHECK(one.has <= 0.19);
+    }
+}
+
 TEST_CASE_METHOD(service_with_keys, "ranges_that_change_hands_are_left_alone", "[balance]")
 {
     setSkew(load);
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -195,9 +195,12 @@
 TEST_CASE_METHOD(keeper_with_two_servers, "hot_bucket_is_cut_out_and_moved_alone", "[ownership]")
 {
     key_load load;
-    load.byBucket.assign(keyBuckets, 0.4 / keyBuckets);
-    load.byBucket[5] += 0.3;
-    load.byBucket[20] += 0.3;
+    std::map<key_number, double> work;
+    for (key_number key = 0; key <= lastKey; key += 64)
+        work[key] = 0.4 / 1024;
+    work[5 * 64] += 0.3;
+    work[20 * 64] += 0.3;
+    setWork(load, work, 2);
     const auto planned = planOwnership(keeper, directory, load, now);
     REQUIRE(planned);
     CHECK(planned->slices.size() > keeper.table.slices.size());
--- a/tests/support/ownership_model.cpp
+++ b/tests/support/ownership_model.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+// The model keeps its keys by buckets, which are not cut.
+constexpr key_number keysPerBucket = 64;
+constexpr std::size_t keyBuckets = (lastKey + 1) / keysPerBucket;
+
+auto bucketOf(key_number key) -> std::size_t
+{
+    return key / keysPerBucket;
+}
+
 constexpr duration step = 10ms;
 // A second holder lasts for seconds, so a look now and then finds it.
 constexpr duration checkPeriod = 100ms;
@@ -171,9 +180,13 @@
         noteServerGone(world.directory, server.record.id, world.now);
     }
     if (world.faults.movingLoad && chance(world, 0.005)) {
-        world.load.byBucket.assign(keyBuckets, 0.5 / keyBuckets);
-        world.load.byBucket[world.random() % keyBuckets] += 0.3;
-        world.load.byBucket[world.random() % keyBuckets] += 0.2;
+        std::map<key_number, double> work;
+        for (key_number bucket = 0; bucket < keyBuckets; ++bucket)
+            work[bucket * keysPerBucket] = 0.5 / keyBuckets;
+        work[world.random() % keyBuckets * keysPerBucket] += 0.3;
+        work[world.random() % keyBuckets * keysPerBucket] += 0.2;
+        world.load.grain = keysPerBucket;
+        setWork(world.load, work, world.servers.size());
     }
     if (world.faults.leaderChanges && world.keeper && chance(world, 0.002))
         world.leaderEnds = world.now;
