Compress long values between hosts, leave out what a host knows already

Ruled out: a leader that is short of processor time (it logged steadily), the hosts' start. Change: values from 2 KB on pass between hosts compressed by Zstandard, once for all hosts; of values that followed one another only the latest is sent; a whole names the keys that the asking host knows unchanged in place of their values.

--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -1,6 +1,7 @@
 // News of the store and of the owners of keys, passed from the leader to the other hosts.
 #include "router/relay.h"
 
+#include "codec/compression.h"
 #include "codec/shared_state_codec.h"
 #include "decisions/membership.h"
 #include "platform/site_decoder.h"
@@ -39,6 +40,11 @@
 constexpr duration flushPausePerHost = 1ms;
 constexpr duration mostFlushPause = 150ms;
 constexpr duration ownersReadPeriod = 1s;
+// Values from this length on are compressed: the configuration, with thousands of routes, takes
+// up to a megabyte, and most hosts have a link of 10 Mbit/s.
+constexpr std::size_t longValue = 2048;
+// Sixteen times the largest value that the store takes.
+constexpr std::size_t mostValueBytes = 16U << 20U;
 
 struct news_source
 {
@@ -126,8 +132,46 @@
         reply.add_owners(encodeOwnership(*table));
 }
 
-auto addChanges(store_follower &follower, const wire::PrefixPosition &position,
-                wire::SyncReply &reply) -> void
+// The short form of a long value, worked out once for all hosts.
+auto packedValue(router_process &router, const store_item &item) -> std::string
+{
+    {
+        const std::lock_guard guard(router.relay.lock);
+        const auto known = router.relay.packed.find(item.key);
+        if (known != router.relay.packed.end() && known->second.revision == item.revision)
+            return known->second.value;
+    }
+    auto value = compressValue(item.value);
+    const std::lock_guard guard(router.relay.lock);
+    router.relay.packed[item.key] = {item.revision, value};
+    return value;
+}
+
+auto encodeItem(router_process &router, const store_item &item, wire::FollowedItem &message) -> void
+{
+    message.set_key(item.key);
+    message.set_revision(item.revision);
+    message.set_deleted(item.deleted);
+    if (item.value.size() >= longValue)
+        message.set_packed_value(packedValue(router, item));
+    if (message.packed_value().empty())
+        message.set_value(item.value);
+}
+
+auto decodeItem(const wire::FollowedItem &message) -> result<store_item>
+{
+    store_item item{message.key(), message.value(), message.revision(), message.deleted()};
+    if (message.packed_value().empty())
+        return item;
+    auto value = decompressValue(message.packed_value(), mostValueBytes);
+    if (!value)
+        return tl::unexpected(value.error());
+    item.value = std::move(*value);
+    return item;
+}
+
+auto addChanges(router_process &router, store_follower &follower,
+                const wire::PrefixPosition &position, wire::SyncReply &reply) -> void
 {
     const auto news = newsSince(follower, position.at());
     if (news.items.empty() && !news.whole)
@@ -136,13 +180,10 @@
     changes->set_prefix(follower.prefix);
     changes->set_at(news.at);
     changes->set_whole(news.whole);
-    for (const auto &item : news.items) {
-        auto *message = changes->add_items();
-        message->set_key(item.key);
-        message->set_value(item.value);
-        message->set_revision(item.revision);
-        message->set_deleted(item.deleted);
-    }
+    for (const auto &item : news.items)
+        encodeItem(router, item, *changes->add_items());
+    for (const auto &key : news.unchanged)
+        changes->add_unchanged(key);
 }
 
 auto makeReply(router_process &router, const wire::SyncRequest &request) -> wire::SyncReply
@@ -154,7 +195,7 @@
     for (const auto &position : request.positions()) {
         for (const auto &follower : router.followers) {
             if (follower->prefix == position.prefix())
-                addChanges(*follower, position, reply);
+                addChanges(router, *follower, position, reply);
         }
     }
     addOwners(router, request, reply);
@@ -250,21 +291,33 @@
                   {"detail", table.error().detail}});
 }
 
+auto takeChanges(router_process &router, const wire::PrefixChanges &changes) -> void
+{
+    prefix_news news;
+    news.at = changes.at();
+    news.whole = changes.whole();
+    news.unchanged.assign(changes.unchanged().begin(), changes.unchanged().end());
+    for (const auto &message : changes.items()) {
+        auto item = decodeItem(message);
+        if (!item) {
+            logEvent(log_level::Error, "news_unreadable",
+                     {{"key", message.key()}, {"detail", item.error().detail}});
+            return;
+        }
+        news.items.push_back(std::move(*item));
+    }
+    for (const auto &follower : router.followers) {
+        if (follower->prefix == changes.prefix())
+            takeNews(follower, news);
+    }
+}
+
 auto takeReply(router_process &router, const wire::SyncReply &reply) -> void
 {
     for (const auto &change : reply.owner_changes())
         takeOwnerChange(router, change);
-    for (const auto &changes : reply.changes()) {
-        prefix_news news;
-        news.at = changes.at();
-        news.whole = changes.whole();
-        for (const auto &item : changes.items())
-            news.items.push_back({item.key(), item.value(), item.revision(), item.deleted()});
-        for (const auto &follower : router.followers) {
-            if (follower->prefix == changes.prefix())
-                takeNews(follower, news);
-        }
-    }
+    for (const auto &changes : reply.changes())
+        takeChanges(router, changes);
     for (const auto &record : reply.owners()) {
         auto table = decodeOwnership(record);
         if (table)
--- a/router/router.h
+++ b/router/router.h
@@ -130,6 +130,12 @@
     instant until{};
 };
 
+struct packed_item
+{
+    store_revision revision = 0;
+    std::string value;
+};
+
 // How this host gets news of the store, and passes them on: the leader watches the store, the
 // others ask it, or its deputy while it does not answer, and at last watch for themselves.
 struct relay_table
@@ -138,6 +144,8 @@
     // All guarded by lock.
     std::vector<waiting_host> waiting;
     bool flushPlanned = false;
+    // Long values in their short form, by key.
+    std::map<std::string, packed_item> packed;
     instant nextOwnersRead{};
     // Who passed on news last, or empty.
     host_id source;
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -5,6 +5,7 @@
 #include "router/relay.h"
 #include "telemetry/event_log.h"
 
+#include <algorithm>
 #include <random>
 
 namespace parsleyloft {
@@ -126,30 +127,38 @@
     self.handlers.onItem(item);
 }
 
-auto applyWhole(store_follower &self, const std::vector<store_item> &items, store_revision at)
-        -> void
+auto applyWhole(store_follower &self, const prefix_news &news) -> void
 {
-    std::set<std::string> present;
-    for (const auto &item : items) {
+    std::set<std::string> present(news.unchanged.begin(), news.unchanged.end());
+    for (const auto &item : news.items) {
         present.insert(item.key);
         applyItem(self, item);
     }
     std::erase_if(self.items, [&](const auto &one) { return !present.contains(one.first); });
     // Keys that went unseen leave no change behind: whoever is older reads the whole.
     self.recent.clear();
-    self.at = std::max(self.at, at);
+    self.at = std::max(self.at, news.at);
     self.since = self.at;
     self.listed = true;
     self.handlers.onListed(present);
 }
 
+// False when another host takes a key for known here that is not.
+auto knowsUnchanged(const store_follower &self, const prefix_news &news) -> bool
+{
+    return std::all_of(news.unchanged.begin(), news.unchanged.end(), [&](const auto &key) {
+        const auto found = self.items.find(key);
+        return found != self.items.end() && !found->second.deleted;
+    });
+}
+
 auto takeListing(const shared_follower &self, const store_items &found) -> void
 {
     noteStoreSeen(self->router);
     {
         const std::lock_guard guard(self->lock);
         self->failures = 0;
-        applyWhole(*self, found.items, found.at);
+        applyWhole(*self, {found.items, {}, found.at, true});
     }
     planFlush(self->router);
     beginWatch(self);
@@ -250,13 +259,18 @@
     if (position < follower.since) {
         news.whole = true;
         for (const auto &[key, item] : follower.items) {
-            if (!item.deleted)
+            if (item.deleted)
+                continue;
+            if (item.revision > position)
                 news.items.push_back(item);
+            else
+                news.unchanged.push_back(key);
         }
         return news;
     }
     for (const auto &item : follower.recent) {
-        if (item.revision > position)
+        // Only the latest of each key: long values may follow one another within a second.
+        if (item.revision > position && follower.items.at(item.key).revision == item.revision)
             news.items.push_back(item);
     }
     return news;
@@ -265,8 +279,15 @@
 auto takeNews(const std::shared_ptr<store_follower> &follower, const prefix_news &news) -> void
 {
     const std::lock_guard guard(follower->lock);
+    if (news.whole && !knowsUnchanged(*follower, news)) {
+        logEvent(log_level::Warn, "news_do_not_fit",
+                 {{"prefix", follower->prefix}, {"at", std::to_string(follower->at)}});
+        // The next call asks for everything.
+        follower->at = 0;
+        return;
+    }
     if (news.whole) {
-        applyWhole(*follower, news.items, news.at);
+        applyWhole(*follower, news);
         return;
     }
     for (const auto &item : news.items)
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -43,8 +43,10 @@
 struct prefix_news
 {
     std::vector<store_item> items;
+    // With a whole: the other keys, which the host that asked knows as they are.
+    std::vector<std::string> unchanged;
     store_revision at = 0;
-    // True when the items are all there are.
+    // True when the items and the unchanged keys are all there are.
     bool whole = false;
 };
 
