Let a host that restarts as leader read the store at once

Cause: after all hosts lost power the leader's key still named the host that led before; back under its old name that host waited for news of others, and they for its. Configuration was known 0.6 s after the start instead of 0.05 s. Ruled out: the store's lists (30 ms). Change: a host that the key names waits for nobody.

--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -367,6 +367,9 @@
     if (router.directory.read || now >= router.relay.patientUntil)
         return false;
     const auto &members = router.members;
+    // The leader's key may be that of this host's life before: the others ask it for news.
+    if (members.leader == router.self.id)
+        return false;
     const auto settled = now >= router.relay.patientUntil - startPatience + hostsReadPeriod;
     return !settled || leadingRank(members.hosts, router.self.id) > 0;
 }
