Read no owners from a store that is away; test what an outage costs

Cause: hosts that were not passed any news read the owners once a second, also while the store was known to be away. Change: none is read then; the test asks that after three seconds of an outage hosts make no reading call in the next two. Without the change it saw 4 of them from two hosts.

--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -243,9 +243,17 @@
         wakeFollower(follower);
 }
 
+auto isStoreAway(router_process &router) -> bool
+{
+    const std::lock_guard guard(router.directory.lock);
+    return router.directory.storeAwaySince.has_value();
+}
+
 // Without a leader the owners are read from the store now and then.
 auto readOwners(router_process &router) -> void
 {
+    if (isStoreAway(router))
+        return;
     {
         const auto now = monotonicNow();
         const std::lock_guard guard(router.relay.lock);
--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -235,6 +235,27 @@
     CHECK(statusOf(0, {}) == 200);
 }
 
+TEST_CASE_METHOD(two_hosts, "store_that_is_away_is_asked_by_renewals_of_leases_alone", "[route]")
+{
+    const auto reads = [this] {
+        return callsTo(*store, "/kv-range") + callsTo(*store, "/kv-watch");
+    };
+    setStoreFaults(*store, {true, false, false});
+    // Watches that wait end with the history.
+    forgetHistory(*store);
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const auto before = reads();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    CHECK(reads() == before);
+    setStoreFaults(*store, {});
+    putConfiguration(*this, 2, {"/new/"});
+    awaitThat("hosts follow the store again", [&] {
+        caller_call call;
+        call.target = "/new/item";
+        return statusOf(0, call) == 200 && statusOf(1, call) == 200;
+    });
+}
+
 TEST_CASE_METHOD(two_hosts, "store_that_forgets_its_history_is_read_anew")
 {
     forgetHistory(*store);
