--- a/daemon/serve.cpp
+++ b/daemon/serve.cpp
@@ -184,7 +184,8 @@
     daemon->store.http = makeHttpClient(*daemon->workers, 2);
     daemon->store.at = *parseEndpoint(settings.platform_address());
     daemon->peers = makePeerClient(*daemon->workers);
-    auto peerServer = startPeerServer(*daemon->workers, settings.peer_address(), peerHandlers(*daemon));
+    auto peerServer =
+            startPeerServer(*daemon->workers, settings.peer_address(), peerHandlers(*daemon));
     if (!peerServer)
         return tl::unexpected(peerServer.error());
     daemon->peerServer = std::move(*peerServer);
--- a/decisions/key_balance.cpp
+++ b/decisions/key_balance.cpp
@@ -241,7 +241,7 @@
                 const key_load &load) -> std::optional<key_move>
 {
     for (const auto &pair : choosePairs(bearers)) {
-        if (const auto move = bestMove(ranges, bearers, load, pair))
+        if (auto move = bestMove(ranges, bearers, load, pair))
             return move;
     }
     return std::nullopt;
