--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -3,9 +3,9 @@
 
 #include "codec/compression.h"
 #include "codec/shared_state_codec.h"
-#include "decisions/membership.h"
 #include "platform/site_decoder.h"
 #include "router/leadership.h"
+#include "router/news_source.h"
 #include "router/site_sync.h"
 #include "router/store_follower.h"
 #include "router/work_reports.h"
@@ -23,12 +23,6 @@
 constexpr duration syncSlack = 300ms;
 // A connection that is being opened stands by the next look.
 constexpr duration connectPause = 60ms;
-constexpr std::uint32_t mostUnconnected = 3;
-constexpr duration firstDoubt = 1s;
-constexpr duration longestDoubt = 4s;
-// Hosts that start together have announced themselves after this.
-constexpr duration hostsReadPeriod = 400ms;
-constexpr duration startPatience = 1500ms;
 constexpr duration leaderLook = 100ms;
 // A host that has not heard from the store for longer passes nothing on: with the next
 // look at it this stays well under the time in which a leaving server must be spared.
@@ -46,47 +40,6 @@
 // Sixteen times the largest value that the store takes.
 constexpr std::size_t mostValueBytes = 16U << 20U;
 
-struct news_source
-{
-    host_id id;
-    std::string address;
-};
-
-// The first host that may have news and is not in doubt, unless this one reads the store.
-auto nextSource(router_process &router) -> std::optional<news_source>
-{
-    const auto now = monotonicNow();
-    const std::scoped_lock guard(router.members.lock, router.relay.lock);
-    const auto &members = router.members;
-    for (const auto &id : newsSources(members.hosts, members.leader, router.self.id)) {
-        const auto doubted = router.relay.doubts.find(id);
-        if (doubted == router.relay.doubts.end() || doubted->second.until <= now)
-            return news_source{id, members.hosts.at(id).peerAddress};
-    }
-    return std::nullopt;
-}
-
-auto noteSourceLost(router_process &router, const host_id &id, const std::string &why) -> void
-{
-    logEvent(log_level::Info, "news_source_lost", {{"peer", id}, {"detail", why}});
-    const std::lock_guard guard(router.relay.lock);
-    auto &doubt = router.relay.doubts[id];
-    doubt.length = std::clamp(doubt.length * 2, firstDoubt, longestDoubt);
-    doubt.until = monotonicNow() + doubt.length;
-    router.relay.source.clear();
-    router.relay.unconnected = 0;
-}
-
-auto noteSource(router_process &router, const host_id &id) -> void
-{
-    const std::lock_guard guard(router.relay.lock);
-    if (router.relay.source != id)
-        logEvent(log_level::Info, "news_source", {{"peer", id}});
-    router.relay.doubts.erase(id);
-    router.relay.source = id;
-    router.relay.unconnected = 0;
-}
-
 auto mayPassOn(router_process &router) -> bool
 {
     const auto seen = fromMicroseconds(router.storeSeenAt);
@@ -299,7 +252,8 @@
                   {"detail", table.error().detail}});
 }
 
-auto takeChanges(router_process &router, const wire::PrefixChanges &changes) -> void
+// Returns false for news that can't be read.
+auto takeChanges(router_process &router, const wire::PrefixChanges &changes) -> bool
 {
     prefix_news news;
     news.at = changes.at();
@@ -310,7 +264,7 @@
         if (!item) {
             logEvent(log_level::Error, "news_unreadable",
                      {{"key", message.key()}, {"detail", item.error().detail}});
-            return;
+            return false;
         }
         news.items.push_back(std::move(*item));
     }
@@ -318,14 +272,16 @@
         if (follower->prefix == changes.prefix())
             takeNews(follower, news);
     }
+    return true;
 }
 
-auto takeReply(router_process &router, const wire::SyncReply &reply) -> void
+auto takeReply(router_process &router, const wire::SyncReply &reply) -> bool
 {
+    auto readable = true;
     for (const auto &change : reply.owner_changes())
         takeOwnerChange(router, change);
     for (const auto &changes : reply.changes())
-        takeChanges(router, changes);
+        readable = takeChanges(router, changes) && readable;
     for (const auto &record : reply.owners()) {
         auto table = decodeOwnership(record);
         if (table)
@@ -333,6 +289,7 @@
         else
             logEvent(log_level::Error, "ownership_unreadable", {{"detail", table.error().detail}});
     }
+    return readable;
 }
 
 auto makeRequest(router_process &router, bool first) -> wire::SyncRequest
@@ -366,32 +323,10 @@
     });
 }
 
-// True while a host that has just started may still hear from another one. The one that leads
-// or will lead is waited for by the others.
-auto waitsForOthers(router_process &router) -> bool
-{
-    const auto now = monotonicNow();
-    const std::scoped_lock guard(router.members.lock, router.relay.lock);
-    if (router.directory.read || now >= router.relay.patientUntil)
-        return false;
-    const auto &members = router.members;
-    // The leader's key may be that of this host's life before: the others ask it for news.
-    if (members.leader == router.self.id)
-        return false;
-    const auto settled = now >= router.relay.patientUntil - startPatience + hostsReadPeriod;
-    return !settled || leadingRank(members.hosts, router.self.id) > 0;
-}
-
-// Reads the list of hosts again: those that start together may have been missing.
 auto readHosts(router_process &router) -> void
 {
-    {
-        const auto now = monotonicNow();
-        const std::lock_guard guard(router.relay.lock);
-        if (now < router.relay.nextHostsRead)
-            return;
-        router.relay.nextHostsRead = now + hostsReadPeriod;
-    }
+    if (!mayReadHosts(router))
+        return;
     for (const auto &follower : router.followers) {
         if (follower->prefix == livePrefix)
             beginFollowing(follower);
@@ -408,21 +343,11 @@
     relayAgain(router, leaderLook);
 }
 
-// Whether the source should be asked once more, its connection is only being opened.
-auto isConnecting(router_process &router, const result<wire::SyncReply> &ended) -> bool
-{
-    if (ended || ended.error().code != error_code::Unreachable)
-        return false;
-    const std::lock_guard guard(router.relay.lock);
-    return ++router.relay.unconnected < mostUnconnected;
-}
-
 auto noteSyncEnd(router_process &router, const news_source &source,
                  const result<wire::SyncReply> &ended) -> void
 {
-    if (ended && ended->current()) {
+    if (ended && ended->current() && takeReply(router, *ended)) {
         noteSource(router, source.id);
-        takeReply(router, *ended);
         setRelayed(router, true);
         relayAgain(router, 0us);
         return;
@@ -431,7 +356,8 @@
         relayAgain(router, connectPause);
         return;
     }
-    noteSourceLost(router, source.id, ended ? "has no news" : ended.error().detail);
+    noteSourceLost(router, source.id,
+                   ended ? "has no news, or none that can be read" : ended.error().detail);
     relayAgain(router, 0us);
 }
 
@@ -463,12 +389,7 @@
 
 auto beginRelay(router_process &router) -> void
 {
-    {
-        const auto now = monotonicNow();
-        const std::lock_guard guard(router.relay.lock);
-        router.relay.patientUntil = now + startPatience;
-        router.relay.nextHostsRead = now + hostsReadPeriod;
-    }
+    beginPatience(router);
     relayAgain(router, connectPause);
 }
 
