Bound how long a watch that the store lost is waited for

In an outage in which the store is silent a host began a watch of 25 s, which the store took and never answered; when the leader and its deputy were turned away later, that host followed nothing, and gave 2.4 s old work to a server that was leaving. Ruled out: the deputy's answer (hosts noticed within 0.35 s), the relay's doubts. Change: watches wait 4 s, and 0.6 s in the 8 s after a call on the store failed or a source of news was lost; an answer is 0.7 s late at most.

--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -65,6 +65,7 @@
     openLease(router.store, leaseLength, [&router, sentAt](const result<store_lease> &ended) {
         countStoreCall(router.counted, "lease", ended.has_value());
         if (!ended) {
+            noteStoreTrouble(router);
             setIdle(router);
             return;
         }
@@ -88,8 +89,10 @@
             noteRenewed(router, sentAt);
         } else if (ended.error().code == error_code::NotFound)
             noteLeaseLost(router);
-        else
+        else {
+            noteStoreTrouble(router);
             setIdle(router);
+        }
     });
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -17,6 +17,7 @@
 #include "transport/peer_link.h"
 
 #include <atomic>
+#include <limits>
 #include <mutex>
 
 namespace parsleyloft {
@@ -249,6 +250,8 @@
 
     // When the store last answered this host, in microseconds of its clock.
     std::atomic<std::int64_t> storeSeenAt = 0;
+    // When a call on the store last failed, likewise.
+    std::atomic<std::int64_t> storeTroubleAt = std::numeric_limits<std::int64_t>::min() / 2;
     // True while another host tells this one what is in the store, and before the first news.
     std::atomic<bool> relayed = true;
     std::atomic<bool> draining = false;
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -12,8 +12,11 @@
 
 namespace {
 
-// Under the store's limit of 30 s. A waiting watch costs one call.
-constexpr duration watchWait = 25s;
+// A watch that the store took and then lost says nothing until its time is over, so that the
+// time bounds how long news can be missed. It is shorter while such losses are likely.
+constexpr duration watchWait = 4s;
+constexpr duration watchWaitAfterTrouble = 600ms;
+constexpr duration troubleLasts = 8s;
 constexpr duration firstRetry = 100ms;
 constexpr duration longestRetry = 1s;
 constexpr std::uint32_t mostDoublings = 5;
@@ -57,6 +60,7 @@
 auto retryLater(const shared_follower &self, const error &why,
                 void (*again)(const shared_follower &)) -> void
 {
+    noteStoreTrouble(self->router);
     std::uint32_t failures = 0;
     {
         const std::lock_guard guard(self->lock);
@@ -206,7 +210,9 @@
     if (restIfRelayed(*self))
         return;
     const auto after = positionOf(*self);
-    watchItems(self->router.watches, self->prefix, after, watchWait,
+    const auto calmFor = monotonicNow() - fromMicroseconds(self->router.storeTroubleAt);
+    const auto wait = calmFor < troubleLasts ? watchWaitAfterTrouble : watchWait;
+    watchItems(self->router.watches, self->prefix, after, wait,
                [self, after](const result<store_items> &ended) {
                    countStoreCall(self->router.counted, "watch", ended.has_value());
                    if (ended) {
@@ -297,6 +303,8 @@
 
 auto wakeFollower(const std::shared_ptr<store_follower> &follower) -> void
 {
+    // Whoever passed the news on may have lost the store.
+    noteStoreTrouble(follower->router);
     auto listed = false;
     {
         const std::lock_guard guard(follower->lock);
@@ -310,6 +318,11 @@
         beginListing(follower);
 }
 
+auto noteStoreTrouble(router_process &router) -> void
+{
+    router.storeTroubleAt = toMicroseconds(monotonicNow());
+}
+
 auto noteStoreSeen(router_process &router) -> void
 {
     const auto now = monotonicNow();
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -71,6 +71,9 @@
 // Watches the store itself, unless it does so already.
 auto wakeFollower(const std::shared_ptr<store_follower> &follower) -> void;
 
+// Notes that a call on the store failed, or that another host may have lost it.
+auto noteStoreTrouble(router_process &router) -> void;
+
 // Notes that the store answered, and what its absence may have cost.
 auto noteStoreSeen(router_process &router) -> void;
 
