Lead only by a claim under the lease that the host holds now

Ruled out: a grant under way while a range is cut (marked until its end), late grants (waited out). Change: the leader's key names the lease under which it was claimed; a host leads only by a claim under its present lease.

--- a/codec/shared_state_codec.cpp
+++ b/codec/shared_state_codec.cpp
@@ -145,6 +145,22 @@
     return table;
 }
 
+auto encodeLeader(const leader_claim &claim) -> std::string
+{
+    wire::LeaderRecord record;
+    record.set_host_id(claim.host);
+    record.set_lease(claim.lease);
+    return record.SerializeAsString();
+}
+
+auto decodeLeader(const std::string &value) -> result<leader_claim>
+{
+    wire::LeaderRecord record;
+    if (!record.ParseFromString(value) || record.host_id().empty())
+        return failure(error_code::InvalidInput, "not a leader's record");
+    return leader_claim{record.host_id(), record.lease(), 0};
+}
+
 auto encodeMember(const member_host &host) -> std::string
 {
     wire::HostRecord record;
--- a/codec/shared_state_codec.h
+++ b/codec/shared_state_codec.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "decisions/membership.h"
 #include "decisions/ownership_news.h"
 #include "generated/shared_state.pb.h"
 
@@ -17,6 +18,9 @@
 // Fails with InvalidInput for a slice that is out of its range.
 auto fromWire(const wire::OwnershipChange &message) -> result<ownership_change>;
 
+auto encodeLeader(const leader_claim &claim) -> std::string;
+auto decodeLeader(const std::string &value) -> result<leader_claim>;
+
 auto encodeMember(const member_host &host) -> std::string;
 auto decodeMember(const host_id &id, const std::string &value) -> result<member_host>;
 
--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -91,6 +91,11 @@
     return sources;
 }
 
+auto isOwnClaim(const leader_claim &claim, const host_id &self, std::uint64_t lease) -> bool
+{
+    return claim.revision != 0 && claim.host == self && lease != 0 && claim.lease == lease;
+}
+
 auto leadingRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t
 {
     const auto own = hosts.find(host);
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -18,6 +18,19 @@
 auto newsSources(const std::map<host_id, member_host> &hosts, const host_id &leader,
                  const host_id &self) -> std::vector<host_id>;
 
+// The leader's key as it was last heard. An empty host stands for none.
+struct leader_claim
+{
+    host_id host;
+    // The lease with which the key ends.
+    std::uint64_t lease = 0;
+    std::uint64_t revision = 0;
+};
+
+// True when the key was claimed by this host under the lease that it holds now. A host that lost
+// its lease and opened another one has to claim anew, also while the key still names it.
+auto isOwnClaim(const leader_claim &claim, const host_id &self, std::uint64_t lease) -> bool;
+
 // The place of a host among those that may lead, 0 for the first: larger hosts come first.
 auto leadingRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t;
 
--- a/router/dump.cpp
+++ b/router/dump.cpp
@@ -66,7 +66,7 @@
 auto addHosts(router_process &router, const std::set<group_id> &groups, wire::Dump &dump) -> void
 {
     const std::lock_guard guard(router.members.lock);
-    dump.set_leader(router.members.leader);
+    dump.set_leader(router.members.leader.host);
     for (const auto &[id, host] : router.members.hosts) {
         auto *shown = dump.mutable_table()->add_hosts();
         shown->set_host_id(id);
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -122,7 +122,7 @@
 {
     {
         const std::lock_guard guard(router.members.lock);
-        if (router.members.leaderRevision != 0)
+        if (router.members.leader.revision != 0)
             return;
         const auto rank = leadingRank(router.members.hosts, router.self.id);
         const auto turn =
@@ -131,40 +131,42 @@
             return;
     }
     store_change change;
+    leader_claim claim;
     {
         const std::lock_guard guard(router.leadership.lock);
         const auto &own = router.leadership;
         if (own.leaving || !own.announced || monotonicNow() >= own.leaseEnds)
             return;
         change.expect.push_back({std::string(leaderKey), 0});
-        change.writes.push_back({std::string(leaderKey), router.self.id, own.lease});
+        claim = {router.self.id, own.lease, 0};
+        change.writes.push_back({std::string(leaderKey), encodeLeader(claim), own.lease});
     }
     if (!router.directory.read)
         return;
-    changeItems(router.store, change, [&router](const result<store_revision> &ended) {
+    changeItems(router.store, change, [&router, claim](const result<store_revision> &ended) {
         countStoreCall(router.counted, "claim", ended.has_value());
         if (!ended)
             return;
         const std::lock_guard guard(router.members.lock);
-        router.members.leader = router.self.id;
-        router.members.leaderRevision = *ended;
+        router.members.leader = claim;
+        router.members.leader.revision = *ended;
         logEvent(log_level::Info, "leadership_taken", {{"revision", std::to_string(*ended)}});
     });
 }
 
 auto leaderRevision(router_process &router) -> std::optional<store_revision>
 {
-    store_revision revision = 0;
+    leader_claim claim;
     {
         const std::lock_guard guard(router.members.lock);
-        if (router.members.leader != router.self.id)
-            return std::nullopt;
-        revision = router.members.leaderRevision;
+        claim = router.members.leader;
     }
     const std::lock_guard guard(router.leadership.lock);
-    if (router.leadership.leaving || monotonicNow() >= router.leadership.leaseEnds)
+    const auto &own = router.leadership;
+    if (own.leaving || monotonicNow() >= own.leaseEnds
+        || !isOwnClaim(claim, router.self.id, own.lease))
         return std::nullopt;
-    return revision;
+    return claim.revision;
 }
 
 auto leadsNow(router_process &router) -> bool
--- a/router/news_source.cpp
+++ b/router/news_source.cpp
@@ -24,7 +24,7 @@
     const auto now = monotonicNow();
     const std::scoped_lock guard(router.members.lock, router.relay.lock);
     const auto &members = router.members;
-    for (const auto &id : newsSources(members.hosts, members.leader, router.self.id)) {
+    for (const auto &id : newsSources(members.hosts, members.leader.host, router.self.id)) {
         const auto doubted = router.relay.doubts.find(id);
         if (doubted == router.relay.doubts.end() || doubted->second.until <= now)
             return news_source{id, members.hosts.at(id).peerAddress};
@@ -77,7 +77,7 @@
         return false;
     const auto &members = router.members;
     // The leader's key may be that of this host's life before: the others ask it for news.
-    if (members.leader == router.self.id)
+    if (members.leader.host == router.self.id)
         return false;
     const auto settled = now >= router.relay.patientUntil - startPatience + hostsReadPeriod;
     return !settled || leadingRank(members.hosts, router.self.id) > 0;
--- a/router/router.h
+++ b/router/router.h
@@ -5,6 +5,7 @@
 // in this order. Locks are held around calls of decisions only, never around input or output.
 #pragma once
 
+#include "decisions/membership.h"
 #include "decisions/ownership_news.h"
 #include "decisions/permit_queue.h"
 #include "decisions/repeat_budget.h"
@@ -79,8 +80,7 @@
     std::map<group_id, std::vector<host_id>> keepers;
     // Hosts that did not answer when they were asked for a permit.
     std::map<host_id, host_doubt> doubts;
-    host_id leader;
-    store_revision leaderRevision = 0;
+    leader_claim leader;
     // Since when there has been no leader, as far as this host knows.
     instant leaderlessSince{};
 };
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -158,12 +158,19 @@
 
 auto applyLeaderItem(router_process &router, const store_item &item) -> void
 {
+    leader_claim claim;
+    if (!item.deleted) {
+        const auto decoded = decodeLeader(item.value);
+        if (!decoded)
+            logEvent(log_level::Error, "leader_unreadable", {{"detail", decoded.error().detail}});
+        claim = decoded.value_or(leader_claim{});
+        claim.revision = item.revision;
+    }
     const std::lock_guard guard(router.members.lock);
-    router.members.leader = item.deleted ? host_id{} : item.value;
-    router.members.leaderRevision = item.deleted ? 0 : item.revision;
+    router.members.leader = claim;
     router.members.leaderlessSince = monotonicNow();
     logEvent(log_level::Info, "leader_heard",
-             {{"leader", router.members.leader}, {"revision", std::to_string(item.revision)}});
+             {{"leader", claim.host}, {"revision", std::to_string(item.revision)}});
 }
 
 auto applySharedItem(router_process &router, const store_item &item) -> void
@@ -184,8 +191,7 @@
                 && !present.contains(std::string(hostsPrefix) + one.first);
     });
     if (!present.contains(std::string(leaderKey))) {
-        router.members.leader.clear();
-        router.members.leaderRevision = 0;
+        router.members.leader = {};
     }
 }
 
--- a/tests/decisions/attempt_rules_test.cpp
+++ b/tests/decisions/attempt_rules_test.cpp
@@ -153,6 +153,17 @@
     CHECK(ranks.size() == hosts.size());
 }
 
+TEST_CASE("host_with_a_new_lease_does_not_lead_by_the_claim_of_the_one_before", "[membership]")
+{
+    const leader_claim claim{"h1", 7, 97};
+    CHECK(isOwnClaim(claim, "h1", 7));
+    CHECK_FALSE(isOwnClaim(claim, "h1", 8));
+    CHECK_FALSE(isOwnClaim(claim, "h1", 0));
+    CHECK_FALSE(isOwnClaim(claim, "h2", 7));
+    CHECK_FALSE(isOwnClaim({"h1", 7, 0}, "h1", 7));
+    CHECK_FALSE(isOwnClaim({}, "h1", 0));
+}
+
 TEST_CASE("no_two_hosts_wait_for_each_others_news_whoever_leads", "[membership]")
 {
     std::map<host_id, member_host> hosts;
