--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -96,6 +96,19 @@
     return claim.revision != 0 && claim.host == self && lease != 0 && claim.lease == lease;
 }
 
+auto isDoubted(const std::map<host_id, host_doubt> &doubts, const host_id &host, instant now)
+        -> bool
+{
+    const auto found = doubts.find(host);
+    return found != doubts.end() && now < found->second.until;
+}
+
+auto extendDoubt(host_doubt &doubt, duration first, duration longest, instant now) -> void
+{
+    doubt.length = std::clamp(doubt.length * 2, first, longest);
+    doubt.until = now + doubt.length;
+}
+
 auto leadingRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t
 {
     const auto own = hosts.find(host);
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -31,6 +31,19 @@
 // its lease and opened another one has to claim anew, also while the key still names it.
 auto isOwnClaim(const leader_claim &claim, const host_id &self, std::uint64_t lease) -> bool;
 
+// A host that did not answer is left alone until then, longer each time in a row.
+struct host_doubt
+{
+    instant until{};
+    duration length = 0us;
+};
+
+auto isDoubted(const std::map<host_id, host_doubt> &doubts, const host_id &host, instant now)
+        -> bool;
+
+// Doubles the doubt, within the bounds.
+auto extendDoubt(host_doubt &doubt, duration first, duration longest, instant now) -> void;
+
 // The place of a host among those that may lead, 0 for the first: larger hosts come first.
 auto leadingRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t;
 
--- a/router/news_source.cpp
+++ b/router/news_source.cpp
@@ -4,8 +4,6 @@
 #include "decisions/membership.h"
 #include "telemetry/event_log.h"
 
-#include <algorithm>
-
 namespace parsleyloft {
 
 namespace {
@@ -25,8 +23,7 @@
     const std::scoped_lock guard(router.members.lock, router.relay.lock);
     const auto &members = router.members;
     for (const auto &id : newsSources(members.hosts, members.leader.host, router.self.id)) {
-        const auto doubted = router.relay.doubts.find(id);
-        if (doubted == router.relay.doubts.end() || doubted->second.until <= now)
+        if (!isDoubted(router.relay.doubts, id, now))
             return news_source{id, members.hosts.at(id).peerAddress};
     }
     return std::nullopt;
@@ -37,8 +34,7 @@
     logEvent(log_level::Info, "news_source_lost", {{"peer", id}, {"detail", why}});
     const std::lock_guard guard(router.relay.lock);
     auto &doubt = router.relay.doubts[id];
-    doubt.length = std::clamp(doubt.length * 2, firstDoubt, longestDoubt);
-    doubt.until = monotonicNow() + doubt.length;
+    extendDoubt(doubt, firstDoubt, longestDoubt, monotonicNow());
     router.relay.source.clear();
     router.relay.unconnected = 0;
 }
--- a/router/relay.cpp
+++ b/router/relay.cpp
@@ -187,9 +187,7 @@
 
 auto setRelayed(router_process &router, bool relayed) -> void
 {
-    if (router.relayed.exchange(relayed) == relayed)
-        return;
-    if (relayed)
+    if (router.relayed.exchange(relayed) == relayed || relayed)
         return;
     logEvent(log_level::Info, "news_from_store", {});
     for (const auto &follower : router.followers)
--- a/router/router.h
+++ b/router/router.h
@@ -64,13 +64,6 @@
     std::vector<parked_request> parked;
 };
 
-// A host that did not answer is left alone until then, longer each time in a row.
-struct host_doubt
-{
-    instant until{};
-    duration length = 0us;
-};
-
 struct members_table
 {
     std::mutex lock;
