Decode configurations and store answers item by item

Ruled out: the store, the watch and the other routes, which were read correctly.

Change: a malformed or unknown field affects that field of that item alone. The value of the version in force is kept, or the safest one is used: an unknown kind runs at most once, a route without a service is refused with 503. Defects are logged, counted and shown by status and dump. Entries of servers with implausible numbers, an address that is no IP address, or without the fields that every server writes name no server. One malformed item in an answer of the store no longer stops the follower of its prefix.

Tests: unit tests for each field, process tests with entries of other writers; the process test fails on the old code, whose hosts refuse every route.

--- a/command/tables.cpp
+++ b/command/tables.cpp
@@ -123,6 +123,7 @@
     status.set_leader(dump.leader());
     status.set_store_reachable(dump.store_reachable());
     status.set_revision(dump.configuration().revision());
+    *status.mutable_configuration_defects() = dump.configuration_defects();
     const auto counts = countShards(dump);
     for (const auto &server : dump.table().servers()) {
         auto *owner = status.add_owners();
@@ -177,6 +178,8 @@
               << (status.leader().empty() ? "unknown" : status.leader()) << ", revision "
               << status.revision() << ", key-value service "
               << (status.store_reachable() ? "reachable" : "not reachable") << "\n\n";
+    for (const auto &defect : status.configuration_defects())
+        std::cout << "configuration: " << defect << "\n";
     printOwners(status);
     std::cout << "\n";
     printClassStatus(status);
--- a/core/endpoint.cpp
+++ b/core/endpoint.cpp
@@ -1,10 +1,22 @@
 // Network addresses of processes: parsing of "ip:port".
 #include "core/endpoint.h"
 
+#include <arpa/inet.h>
 #include <charconv>
 
 namespace parsleyloft {
 
+namespace {
+
+auto isIpAddress(const std::string &text) -> bool
+{
+    in6_addr parsed{};
+    return ::inet_pton(AF_INET, text.c_str(), &parsed) == 1
+            || ::inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
+}
+
+} // namespace
+
 auto parseEndpoint(std::string_view text) -> result<endpoint>
 {
     const auto colon = text.rfind(':');
@@ -19,7 +31,7 @@
     parsed.address = std::string(text.substr(0, colon));
     const auto end = digits.data() + digits.size();
     const auto [stop, failed] = std::from_chars(digits.data(), end, parsed.port);
-    if (failed != std::errc() || stop != end || parsed.port == 0)
+    if (failed != std::errc() || stop != end || parsed.port == 0 || !isIpAddress(parsed.address))
         return invalid();
     return parsed;
 }
--- a/core/site.h
+++ b/core/site.h
@@ -39,7 +39,8 @@
     auto operator==(const weighted_service &) const -> bool = default;
 };
 
-// Invariant: services is not empty and its weights are positive.
+// Invariant: the weights of the services are positive. A route whose configuration names no valid
+// service has none, and its requests are refused.
 struct route
 {
     route_name name;
--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -220,6 +220,8 @@
     entry.set_state(draining ? "draining" : "ready");
     entry.set_warmup_left_ms(0);
     entry.set_born(options.startTimeMs);
+    entry.set_version("v1");
+    entry.set_seq(1);
     putItem(store, "servers/" + options.id, toJson(entry));
 }
 
--- a/router/counters.cpp
+++ b/router/counters.cpp
@@ -54,6 +54,9 @@
     prometheus::Family<prometheus::Counter> &repeats = counterFamily(
             registry, "parsleyloft_repeats_total",
             "Repeated sends requested from the shared budget, by service and result.");
+    prometheus::Family<prometheus::Counter> &defects =
+            counterFamily(registry, "parsleyloft_defective_items_total",
+                          "Malformed or unknown parts of the store's items, by kind of item.");
     prometheus::Gauge &leads = prometheus::BuildGauge()
                                        .Name("parsleyloft_leading")
                                        .Help("1 while this host is the leader, which assigns keys.")
@@ -118,6 +121,12 @@
             .Increment();
 }
 
+auto countDefect(counters &metrics, store_item_kind kind) -> void
+{
+    metrics.impl->defects.Add({{"item", std::string(nameIn(storeItemKindNames, kind))}})
+            .Increment();
+}
+
 auto setLeading(counters &metrics, bool leading) -> void
 {
     metrics.impl->leads.Set(leading ? 1 : 0);
--- a/router/counters.h
+++ b/router/counters.h
@@ -10,6 +10,14 @@
 
 namespace parsleyloft {
 
+// The items of the platform's store that other systems write.
+enum class store_item_kind : std::uint8_t { Configuration, Server };
+
+inline constexpr name_table<store_item_kind, 2> storeItemKindNames{{
+        {store_item_kind::Configuration, "configuration"},
+        {store_item_kind::Server, "server"},
+}};
+
 struct counters
 {
     struct internals;
@@ -28,6 +36,8 @@
 auto countOwnerChange(counters &metrics, const service_name &service, double slices) -> void;
 auto countKeyOrder(counters &metrics, order_kind kind, order_result result) -> void;
 auto countRepeat(counters &metrics, const service_name &service, bool allowed) -> void;
+// A malformed or unknown part of an item.
+auto countDefect(counters &metrics, store_item_kind kind) -> void;
 auto setLeading(counters &metrics, bool leading) -> void;
 
 // All metrics in the text format of Prometheus.
--- a/router/dump.cpp
+++ b/router/dump.cpp
@@ -111,6 +111,11 @@
     dump.set_relayed(router.usesUpdateSource);
     if (const auto routes = currentRoutes(router))
         dump.mutable_configuration()->set_revision(routes->configuration.version);
+    {
+        const std::lock_guard guard(router.routes.lock);
+        for (const auto &defect : router.routes.defects)
+            dump.add_configuration_defects(defect);
+    }
     addHosts(router, addServers(router, dump), dump);
     addKeys(router, dump);
     addQueues(router, dump);
--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -35,6 +35,8 @@
     NoConfiguration,
     BadRequest,
     NoRoute,
+    // The configuration names no valid service for the route.
+    RouteUnusable,
     NoServer,
     NoOwner,
     Overloaded,
@@ -45,11 +47,12 @@
     CallerGone,
 };
 
-constexpr name_table<request_result, 12> requestResultNames{{
+constexpr name_table<request_result, 13> requestResultNames{{
         {request_result::Answered, "answered"},
         {request_result::NoConfiguration, "no_configuration"},
         {request_result::BadRequest, "bad_request"},
         {request_result::NoRoute, "no_route"},
+        {request_result::RouteUnusable, "route_unusable"},
         {request_result::NoServer, "no_server"},
         {request_result::NoOwner, "no_owner"},
         {request_result::Overloaded, "overloaded"},
@@ -435,6 +438,11 @@
     }
     flow->deadline = std::min(flow->deadline, flow->arrived + flow->matchedRoute->timeout);
     flow->targetEnds = std::min(flow->arrived + flow->matchedRoute->target, flow->deadline);
+    if (flow->matchedRoute->services.empty()) {
+        flow->expectedWait = noConfigurationRetry;
+        answerRefusal(flow, request_result::RouteUnusable);
+        return false;
+    }
     flow->seed = stableHash(flow->callerRequest.id);
     flow->service = chooseService(*flow->matchedRoute, flow->seed);
     const auto service = flow->routes->configuration.services.find(flow->service);
--- a/router/router.h
+++ b/router/router.h
@@ -37,6 +37,8 @@
     std::mutex lock;
     // Guarded by lock. Null until a configuration has been read.
     shared_routes current;
+    // Guarded by lock. What is malformed or unknown in the current configuration.
+    std::vector<std::string> defects;
 };
 
 struct directory_table
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -23,20 +23,28 @@
 
 auto adoptConfiguration(router_process &router, const store_item &item) -> void
 {
-    auto decoded = decodeConfiguration(item.value);
+    const auto inForce = currentRoutes(router);
+    auto decoded = decodeConfiguration(item.value, inForce ? &inForce->configuration : nullptr);
     if (!decoded) {
         logEvent(log_level::Error, "configuration_unreadable",
                  {{"revision", std::to_string(item.revision)}, {"detail", decoded.error().detail}});
+        countDefect(router.metrics, store_item_kind::Configuration);
         return;
     }
-    const auto version = decoded->version;
-    const auto limits = toHttpLimits(decoded->limits);
+    const auto version = decoded->configuration.version;
+    const auto limits = toHttpLimits(decoded->configuration.limits);
     {
         const std::lock_guard guard(router.routes.lock);
         auto &current = router.routes.current;
         if (current && current->configuration.version >= version)
             return;
-        current = makeRouteTable(std::move(*decoded));
+        current = makeRouteTable(std::move(decoded->configuration));
+        router.routes.defects = decoded->defects;
+    }
+    for (const auto &defect : decoded->defects) {
+        logEvent(log_level::Warn, "configuration_item_defective",
+                 {{"version", std::to_string(version)}, {"detail", defect}});
+        countDefect(router.metrics, store_item_kind::Configuration);
     }
     setHttpLimits(router.callerServer, limits);
     logEvent(log_level::Info, "configuration_adopted",
@@ -105,6 +113,7 @@
     if (!record) {
         logEvent(log_level::Warn, "server_entry_unreadable",
                  {{"key", item.key}, {"detail", record.error().detail}});
+        countDefect(router.metrics, store_item_kind::Server);
         applyRemovedServer(router, item);
         return;
     }
--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -272,8 +272,62 @@
     putItem(*store, "servers/foreign-2", R"({"service":"shop","slots":"many"})");
     putItem(*store, "servers/foreign-3",
             R"({"service":"shop","address":"127.0.0.1:1","zone":"a","slots":3,"state":"odd","born":5})");
+    const auto putOdd = [&](const std::string &name, const std::string &address,
+                            const std::string &slots, const std::string &seq) {
+        putItem(*store, "servers/" + name,
+                R"({"service":"shop","address":")" + address + R"(","zone":"a","slots":)" + slots
+                        + R"(,"state":"ready","warmup_left_ms":0,"version":"v1","born":5,"seq":)"
+                        + seq + "}");
+    };
+    putOdd("deep", "127.0.0.1:1", "3", std::string(20000, '[') + std::string(20000, ']'));
+    putOdd("deep-open", "127.0.0.1:1", "3", std::string(200000, '['));
+    putOdd("large", "127.0.0.1:1", "99999999999999999999", "1");
+    putOdd("too-large", "127.0.0.1:1", "1e999", "1");
+    putOdd("port", "127.0.0.1:80800", "3", "1");
     for (int index = 0; index < 10; ++index)
         CHECK(statusOf(index % 2, {}) == 200);
+    // A host that starts reads the whole list.
+    kill(processes.at("host-1"), SIGKILL);
+    waitpid(processes.at("host-1"), nullptr, 0);
+    startRoutingHost(*this, 1);
+    waitUntil("the host is ready", [&] { return isReady(*this, 1); });
+    // Both still follow the list.
+    publishServerState(servers.at("shop-a"), *store, true);
+    waitUntil("the leaving server gets no request", [&] {
+        const auto before = servedRequests(servers.at("shop-a")).size();
+        for (int index = 0; index < 8; ++index)
+            CHECK(statusOf(index % 2, {}) == 200);
+        return servedRequests(servers.at("shop-a")).size() == before;
+    });
+    const auto metrics = readAdmin(*this, 1, "/metrics");
+    CHECK(metrics.find("parsleyloft_defective_items_total{item=\"server\"}") != std::string::npos);
+}
+
+// One route of a kind that the host does not know must not take the other routes out of service.
+TEST_CASE_METHOD(two_hosts, "odd_item_of_a_configuration_affects_that_item_only")
+{
+    putItem(*store, "op/config",
+            R"({"version":50,"routes":[)"
+            R"({"name":"scan","host":"shop.example","prefix":"/scan/","kind":"download",)"
+            R"("timeout_ms":3000,"target_ms":500,"priority":1,"max_attempts":2,"service":"shop"},)"
+            R"({"name":"odd","host":"shop.example","prefix":"/odd/","kind":"sideways",)"
+            R"("timeout_ms":"soon","target_ms":-5,"priority":1,"max_attempts":2,"service":"shop"},)"
+            R"({"name":"bare","host":"shop.example","prefix":"/bare/","kind":"safe",)"
+            R"("timeout_ms":3000,"target_ms":500,"priority":1,"max_attempts":2}],)"
+            R"("services":[{"name":"shop","cold_per_s":{}}],"limits":7})");
+    const auto statusAt = [&](int host, const std::string &target) {
+        caller_call call;
+        call.target = target;
+        return statusOf(host, call);
+    };
+    for (int host = 0; host < 2; ++host) {
+        waitUntil("the version is in force", [&] { return statusAt(host, "/scan/x") == 200; });
+        CHECK(statusAt(host, "/odd/x") == 200);
+        CHECK(statusAt(host, "/bare/x") == 503);
+        CHECK(readAdmin(*this, host, "/v1/dump").find("the kind 'sideways' is unknown")
+              != std::string::npos);
+    }
+    CHECK(outputOf(*this, 0).find("event=configuration_item_defective") != std::string::npos);
 }
 
 TEST_CASE_METHOD(two_hosts, "stopped_host_completes_its_requests_and_another_host_leads")
