Observe what servers state about themselves: leaving and pauses

Cause: an answer's Server-Leaving header and the Retry-After of a server's 503 were ignored, so a server could get requests after it had said that it leaves (when its entry did not say so yet), and was asked again 60 ms after it wanted nothing for seconds.

Change: an incarnation that stated to leave is unusable from then on, whatever its entry says. The queue host learns of it with the returned permit and the leader with the next work report, so no host sends messages for it alone. A pause binds the host that was asked: paused servers are excluded from permits, a permit for one is returned unused, and a request whose key's owner is paused is refused at once with the rest of the pause.

--- a/decisions/attempt_rules.h
+++ b/decisions/attempt_rules.h
@@ -27,6 +27,10 @@
     bool hasServerStamp = false;
     // The response came from a different server than the expected one.
     bool otherServer = false;
+    // The server states that it leaves.
+    bool leaving = false;
+    // For how long the server accepts no further request from this host, if it says so.
+    std::optional<duration> pause;
 };
 
 inline constexpr name_table<attempt_report::transport_result, 5> transportResultNames{{
--- a/decisions/permit_queue.cpp
+++ b/decisions/permit_queue.cpp
@@ -410,7 +410,7 @@
             expired.push_back(number);
     }
     for (const auto number : expired)
-        returnPermit(queue, {number, permit_result::Unused, 0us, std::nullopt}, now);
+        returnPermit(queue, {number, permit_result::Unused, 0us, std::nullopt, std::nullopt}, now);
     return refused;
 }
 
--- a/decisions/permit_queue.h
+++ b/decisions/permit_queue.h
@@ -133,6 +133,8 @@
     permit_result result = permit_result::Unused;
     duration latency = 0us;
     std::optional<load_report> load;
+    // The start time of the server's incarnation if its answer stated that it leaves.
+    std::optional<std::int64_t> leavingStartMs;
 };
 
 struct issued_permit
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -21,6 +21,17 @@
     return changed;
 }
 
+auto recordServerLeaving(server_directory &directory, const server_id &id, std::int64_t startTimeMs)
+        -> bool
+{
+    const auto known = directory.leavingStartById.find(id);
+    if (known != directory.leavingStartById.end() && known->second >= startTimeMs)
+        return false;
+    directory.leavingStartById[id] = startTimeMs;
+    ++directory.version;
+    return true;
+}
+
 auto recordServerRemoved(server_directory &directory, const server_id &id, instant now) -> bool
 {
     const auto found = directory.entries.find(id);
@@ -77,6 +88,9 @@
 
 auto isUsable(const server_directory &directory, const directory_entry &entry) -> bool
 {
+    const auto leaving = directory.leavingStartById.find(entry.record.id);
+    if (leaving != directory.leavingStartById.end() && leaving->second == entry.record.startTimeMs)
+        return false;
     return !entry.record.draining && !directory.evacuated.contains(entry.record.domain);
 }
 
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -26,6 +26,9 @@
     // an ended incarnation is never accepted again.
     std::map<server_id, std::int64_t> latestStartById;
     std::map<endpoint, std::int64_t> latestStartByAddress;
+    // The incarnations whose answers stated that they leave, by id. Kept after an entry is removed:
+    // such an incarnation never becomes usable again, whatever its entry says.
+    std::map<server_id, std::int64_t> leavingStartById;
     std::set<domain_id> evacuated;
     // Missing entries are kept until then: their servers may announce themselves again.
     instant graceEnds{};
@@ -36,6 +39,11 @@
 // Records an announcement. Returns whether anything but its age changed.
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool;
 
+// Records that an incarnation of a server leaves, as its answers state. Returns whether that was
+// not known before.
+auto recordServerLeaving(server_directory &directory, const server_id &id, std::int64_t startTimeMs)
+        -> bool;
+
 // Removes an entry that is no longer in the store, or marks it as missing during the grace period.
 // Returns whether it was removed.
 auto recordServerRemoved(server_directory &directory, const server_id &id, instant now) -> bool;
--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -34,6 +34,7 @@
     // All guarded by lock.
     std::vector<held_range> held;
     std::vector<served_request> requests;
+    std::size_t arrivals = 0;
     std::uint32_t running = 0;
     std::uint32_t peakRunning = 0;
     keyed_server_faults faults;
@@ -60,6 +61,18 @@
     return response;
 }
 
+// A rejection of a request because of a fault, if there is one.
+auto faultRejection(const keyed_server_faults &faults, const http_request &request)
+        -> std::optional<http_response>
+{
+    if (!faults.rejectRequests && !faults.retryAfterSeconds)
+        return std::nullopt;
+    auto response = notExecuted(503, request);
+    if (faults.retryAfterSeconds)
+        response.headers[retryAfterName] = std::to_string(*faults.retryAfterSeconds);
+    return response;
+}
+
 auto grant(keyed_server_stand_in::internals &server, const http_request &request) -> http_response
 {
     wire::KeyGrant message;
@@ -129,6 +142,8 @@
         response.status = 0;
         response.truncateAfterBytes = 0;
     }
+    if (faults.leaving)
+        response.headers[leavingName] = "1";
     if (faults.wrongRequestId)
         response.headers[requestIdName] = "another-request";
     respond(std::move(response));
@@ -141,6 +156,7 @@
     duration work = 0us;
     {
         const std::lock_guard guard(server->lock);
+        ++server->arrivals;
         const auto expected = headerValue(request.headers, expectedServerName);
         if (!expected.empty() && expected != server->options.id) {
             respond(makeResponse(421, request));
@@ -150,8 +166,8 @@
             respond(notExecuted(421, request));
             return;
         }
-        if (server->faults.rejectRequests) {
-            respond(notExecuted(503, request));
+        if (auto rejection = faultRejection(server->faults, request)) {
+            respond(std::move(*rejection));
             return;
         }
         server->requests.push_back({headerValue(request.headers, requestIdName), request.method,
@@ -187,8 +203,9 @@
 auto startKeyedServer(worker_pool &pool, store_stand_in &store, const endpoint &address,
                       const keyed_server_options &options) -> result<keyed_server_stand_in>
 {
-    auto impl = std::shared_ptr<keyed_server_stand_in::internals>(
-            new keyed_server_stand_in::internals{pool, options, address, {}, {}, {}, 0, 0, {}, {}});
+    auto impl =
+            std::shared_ptr<keyed_server_stand_in::internals>(new keyed_server_stand_in::internals{
+                    pool, options, address, {}, {}, {}, 0, 0, 0, {}, {}});
     auto server =
             startHttpServer(pool, address, {maxBodyBytes, 0us},
                             [impl](const http_request &request, const http_responder &respond) {
@@ -241,6 +258,12 @@
     return keys;
 }
 
+auto countArrivals(keyed_server_stand_in &server) -> std::size_t
+{
+    const std::lock_guard guard(server.impl->lock);
+    return server.impl->arrivals;
+}
+
 auto peakConcurrency(keyed_server_stand_in &server) -> std::uint32_t
 {
     const std::lock_guard guard(server.impl->lock);
--- a/lab/keyed_server_stand_in.h
+++ b/lab/keyed_server_stand_in.h
@@ -27,6 +27,10 @@
     bool rejectRequests = false;
     // Runs the request, then responds with status 500.
     bool failRequests = false;
+    // States in all answers that the server leaves.
+    bool leaving = false;
+    // Rejects all requests and states for how many seconds it wants no further ones.
+    std::optional<double> retryAfterSeconds;
 };
 
 struct keyed_server_stand_in
@@ -61,6 +65,9 @@
 // The number of keys that the server holds under unexpired grants.
 auto countHeldKeys(keyed_server_stand_in &server) -> std::size_t;
 
+// The number of requests that reached the server, run or rejected.
+auto countArrivals(keyed_server_stand_in &server) -> std::size_t;
+
 // The highest number of requests that ran at the same time.
 auto peakConcurrency(keyed_server_stand_in &server) -> std::uint32_t;
 
--- a/router/flow_state.h
+++ b/router/flow_state.h
@@ -47,6 +47,8 @@
     std::optional<http_response> serverFailure;
 
     held_permit permit;
+    // The incarnation of the permit's server.
+    std::int64_t serverStartMs = 0;
     instant permitRequestedAt{};
     instant sentAt{};
 
--- a/router/permits.cpp
+++ b/router/permits.cpp
@@ -1,6 +1,7 @@
 // Requests permits from the queue hosts of groups, and runs the permit queues of this host.
 #include "router/permits.h"
 
+#include "router/site_sync.h"
 #include "telemetry/event_log.h"
 
 namespace parsleyloft {
@@ -367,6 +368,10 @@
         message.set_slots(returned.load->slots);
         message.set_noise(returned.load->noise);
     }
+    if (returned.leavingStartMs) {
+        message.mutable_leaving()->set_server_id(permit.server);
+        message.mutable_leaving()->set_start_time_ms(*returned.leavingStartMs);
+    }
     // The queue host drops a permit that is not returned when it expires.
     if (!sendPermitReturn(router.peers, address, message))
         logEvent(log_level::Info, "permit_return_not_sent", {{"peer", permit.queueHost}});
@@ -389,8 +394,13 @@
 
 auto answerPermitReturn(router_process &router, const wire::PermitReturn &returned) -> void
 {
-    permit_return decoded{returned.permit(), static_cast<permit_result>(returned.ended()),
-                          duration(returned.latency_us()), std::nullopt};
+    if (returned.has_leaving())
+        adoptLeavingServer(router, returned.leaving().server_id(),
+                           returned.leaving().start_time_ms());
+    permit_return decoded;
+    decoded.number = returned.permit();
+    decoded.result = static_cast<permit_result>(returned.ended());
+    decoded.latency = duration(returned.latency_us());
     if (returned.has_load())
         decoded.load = load_report{returned.running(), returned.waiting(), returned.slots(),
                                    returned.noise()};
--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -3,6 +3,7 @@
 
 #include "core/hash.h"
 #include "router/group_choice.h"
+#include "router/site_sync.h"
 #include "telemetry/event_log.h"
 
 #include <algorithm>
@@ -162,7 +163,7 @@
 auto returnUnused(const shared_flow &flow, const held_permit &permit) -> void
 {
     returnHeldPermit(flow->router, permit,
-                     {permit.number, permit_result::Unused, 0us, std::nullopt});
+                     {permit.number, permit_result::Unused, 0us, std::nullopt, std::nullopt});
 }
 
 auto repeatLimits(const router_process &router) -> repeat_limits
@@ -219,17 +220,23 @@
 
 auto sendToServer(const shared_flow &flow, const held_permit &permit) -> void
 {
+    const auto now = monotonicNow();
     endpoint address;
     auto usable = false;
     {
         const std::lock_guard guard(flow->router.directory.lock);
         const auto &directory = flow->router.directory.directory;
         const auto entry = directory.entries.find(permit.server);
-        usable = entry != directory.entries.end() && isUsable(directory, entry->second);
-        if (usable)
-            address = entry->second.record.address;
+        if (entry != directory.entries.end()) {
+            const auto &record = entry->second.record;
+            address = record.address;
+            flow->serverStartMs = record.startTimeMs;
+            usable = isUsable(directory, entry->second)
+                    && remainingPause(flow->router.directory.pauses, record.id, record.startTimeMs,
+                                      now)
+                            == 0us;
+        }
     }
-    const auto now = monotonicNow();
     const auto left = flow->deadline - now;
     if (!usable || left < minAttemptTime) {
         returnUnused(flow, permit);
@@ -296,14 +303,39 @@
               {"next_action", std::string(nameIn(attemptActionNames, action))}});
 }
 
+// Records what the server stated about itself, so that later requests observe it.
+auto recordServerStatements(request_flow &flow, const attempt_report &report, instant now) -> void
+{
+    // Another server may have answered at the address.
+    if (report.otherServer)
+        return;
+    if (report.leaving)
+        adoptLeavingServer(flow.router, flow.permit.server, flow.serverStartMs);
+    if (!report.pause)
+        return;
+    {
+        const std::lock_guard guard(flow.router.directory.lock);
+        recordPause(flow.router.directory.pauses, flow.permit.server, flow.serverStartMs,
+                    *report.pause, now);
+    }
+    logEvent(log_level::Info, "server_paused",
+             {{"server", flow.permit.server},
+              {"request", flow.callerRequest.id},
+              {"pause_ms", std::to_string(toMilliseconds(*report.pause))}});
+}
+
 auto handleAttemptOutcome(const shared_flow &flow, const http_outcome &outcome) -> void
 {
     const auto now = monotonicNow();
     const auto latency = now - flow->sentAt;
     const auto report = decodeAttempt(outcome, flow->permit.server);
     const auto attemptResult = classifyAttempt(report);
-    returnHeldPermit(flow->router, flow->permit,
-                     {flow->permit.number, attemptResult, latency, decodeLoad(outcome.response)});
+    recordServerStatements(*flow, report, now);
+    permit_return returned{flow->permit.number, attemptResult, latency,
+                           decodeLoad(outcome.response), std::nullopt};
+    if (report.leaving && !report.otherServer)
+        returned.leavingStartMs = flow->serverStartMs;
+    returnHeldPermit(flow->router, flow->permit, returned);
     countAttempt(flow->router.metrics, flow->service, attemptResult);
     if (attemptResult == permit_result::Answered || attemptResult == permit_result::Failed)
         updateSmoothedLatency(*flow, latency);
@@ -359,12 +391,18 @@
 auto requestGroupPermit(const shared_flow &flow, const group_choice &choice) -> void
 {
     flow->permitRequestedAt = monotonicNow();
+    auto excluded = flow->excluded;
+    {
+        const std::lock_guard guard(flow->router.directory.lock);
+        const auto paused = pausedServers(flow->router.directory.pauses, flow->permitRequestedAt);
+        excluded.insert(excluded.end(), paused.begin(), paused.end());
+    }
     group_permit_request request{choice.group,
                                  flow->callerRequest.id,
                                  flow->matchedRoute->name,
                                  flow->matchedRoute->priority,
                                  choice.owner,
-                                 flow->keyed ? std::vector<server_id>{} : flow->excluded,
+                                 flow->keyed ? std::vector<server_id>{} : excluded,
                                  flow->matchedRoute->target,
                                  flow->targetEnds,
                                  flow->deadline,
@@ -374,6 +412,18 @@
     });
 }
 
+// How long the owner of the request's key accepts no requests from this host.
+auto ownerPause(request_flow &flow, const server_id &owner) -> duration
+{
+    const std::lock_guard guard(flow.router.directory.lock);
+    const auto &entries = flow.router.directory.directory.entries;
+    const auto entry = entries.find(owner);
+    if (entry == entries.end())
+        return 0us;
+    return remainingPause(flow.router.directory.pauses, owner, entry->second.record.startTimeMs,
+                          monotonicNow());
+}
+
 // Requests a permit for the next attempt. Called again after each refusal, failed attempt and wait
 // for an owner.
 auto dispatch(const shared_flow &flow) -> void
@@ -381,10 +431,16 @@
     if (isFinished(*flow))
         return;
     if (flow->keyed) {
-        if (const auto choice = findOwnerGroup(*flow))
-            requestGroupPermit(flow, *choice);
-        else
+        const auto choice = findOwnerGroup(*flow);
+        if (!choice) {
             parkRequest(flow);
+        } else if (const auto pause = ownerPause(*flow, choice->owner); pause > 0us) {
+            // Only the owner could serve the request, and it accepts none.
+            flow->expectedWait = pause;
+            finishRequest(flow, request_result::Overloaded);
+        } else {
+            requestGroupPermit(flow, *choice);
+        }
         return;
     }
     auto anyUsable = false;
--- a/router/router.h
+++ b/router/router.h
@@ -12,6 +12,7 @@
 #include "decisions/permit_queue.h"
 #include "decisions/repeat_budget.h"
 #include "decisions/route_table.h"
+#include "decisions/server_pauses.h"
 #include "generated/host_settings.pb.h"
 #include "platform/site_store.h"
 #include "router/counters.h"
@@ -44,8 +45,12 @@
 struct directory_table
 {
     std::mutex lock;
-    // Both guarded by lock.
+    // All guarded by lock.
     server_directory directory;
+    // Pauses that servers have requested from this host.
+    server_pauses pauses;
+    // Leaving servers that the leader has not been notified of yet.
+    std::vector<std::pair<server_id, std::int64_t>> unreportedLeaving;
     // Set while the store cannot be reached.
     std::optional<instant> storeUnreachableSince;
     // Copy of the directory's version, so that changes are detected without the lock.
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -239,6 +239,18 @@
     beginUpdateSync(router);
 }
 
+auto adoptLeavingServer(router_process &router, const server_id &server, std::int64_t startTimeMs)
+        -> void
+{
+    const std::lock_guard guard(router.directory.lock);
+    if (!recordServerLeaving(router.directory.directory, server, startTimeMs))
+        return;
+    router.directory.unreportedLeaving.emplace_back(server, startTimeMs);
+    publishDirectoryVersion(router);
+    logEvent(log_level::Info, "server_leaving",
+             {{"server", server}, {"start_time_ms", std::to_string(startTimeMs)}});
+}
+
 auto adoptOwnership(router_process &router, ownership_table table, table_source source) -> void
 {
     std::vector<parked_request> resumed;
--- a/router/site_sync.h
+++ b/router/site_sync.h
@@ -19,6 +19,10 @@
 
 // Replaces a service's ownership table unless a newer one is known, and resumes the requests that
 // wait for owners.
+// Records that a server's answer stated that it leaves.
+auto adoptLeavingServer(router_process &router, const server_id &server, std::int64_t startTimeMs)
+        -> void;
+
 auto adoptOwnership(router_process &router, ownership_table table, table_source source) -> void;
 
 // Resumes the requests that have waited for an owner for as long as they may.
--- a/router/work_reports.cpp
+++ b/router/work_reports.cpp
@@ -1,6 +1,8 @@
 // The work that callers request, by key: reported by every host, summed up by the leader.
 #include "router/work_reports.h"
 
+#include "router/site_sync.h"
+
 #include <cmath>
 
 namespace parsleyloft {
@@ -63,6 +65,17 @@
     }
 }
 
+auto addLeavingServers(router_process &router, wire::SyncRequest &report) -> void
+{
+    const std::lock_guard guard(router.directory.lock);
+    for (const auto &[server, startTimeMs] : router.directory.unreportedLeaving) {
+        auto *message = report.add_leaving();
+        message->set_server_id(server);
+        message->set_start_time_ms(startTimeMs);
+    }
+    router.directory.unreportedLeaving.clear();
+}
+
 } // namespace
 
 auto keyedServices(router_process &router) -> std::vector<service_name>
@@ -109,6 +122,7 @@
         router.work.requested.clear();
     }
     addServerSlowness(router, work);
+    addLeavingServers(router, report);
     for (auto &[service, serviceWork] : work) {
         serviceWork.set_service(service);
         *report.add_services() = std::move(serviceWork);
@@ -118,6 +132,8 @@
 
 auto recordWorkReport(router_process &router, const wire::SyncRequest &report) -> void
 {
+    for (const auto &server : report.leaving())
+        adoptLeavingServer(router, server.server_id(), server.start_time_ms());
     const auto now = monotonicNow();
     const std::lock_guard guard(router.work.lock);
     for (const auto &service : report.services()) {
--- a/tests/decisions/server_directory_test.cpp
+++ b/tests/decisions/server_directory_test.cpp
@@ -28,6 +28,42 @@
     CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
 }
 
+// A server may state in its answers that it leaves while its entry still says that it is ready, for
+// instance because it cannot reach the store.
+TEST_CASE_METHOD(directory_with_a_server, "server_that_stated_to_leave_stays_unusable",
+                 "[directory]")
+{
+    const auto version = directory.version;
+    CHECK(recordServerLeaving(directory, "s1", record.startTimeMs));
+    CHECK(directory.version > version);
+    CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+    SECTION("when_the_statement_is_repeated")
+    {
+        CHECK_FALSE(recordServerLeaving(directory, "s1", record.startTimeMs));
+    }
+    SECTION("when_it_is_announced_as_ready_again")
+    {
+        record.warmupLeft = 5ms;
+        recordServer(directory, record, now + 1s);
+        CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+    }
+    SECTION("when_its_entry_was_removed_in_between")
+    {
+        recordServerRemoved(directory, "s1", now);
+        recordServer(directory, record, now + 1s);
+        CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+    }
+    SECTION("until_a_later_incarnation_starts")
+    {
+        record.startTimeMs = 2000;
+        recordServer(directory, record, now + 1s);
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+        // A late answer of the earlier incarnation.
+        CHECK_FALSE(recordServerLeaving(directory, "s1", 1000));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+    }
+}
+
 TEST_CASE_METHOD(directory_with_a_server, "earlier_incarnation_of_a_server_is_ignored",
                  "[directory]")
 {
--- a/tests/platform/server_messages_test.cpp
+++ b/tests/platform/server_messages_test.cpp
@@ -99,6 +99,25 @@
     CHECK(decodeAttempt(outcome, "i-7").notExecuted);
 }
 
+TEST_CASE("statements_of_a_server_about_itself_are_decoded", "[messages]")
+{
+    http_outcome outcome;
+    outcome.response.status = 200;
+    outcome.response.headers["Server-Leaving"] = "1";
+    CHECK(decodeAttempt(outcome, "i-7").leaving);
+    const auto pauseOf = [&](unsigned status, const std::string &value) {
+        outcome.response.status = status;
+        outcome.response.headers["Retry-After"] = value;
+        return decodeAttempt(outcome, "i-7").pause;
+    };
+    CHECK(pauseOf(503, "1.25") == 1250ms);
+    CHECK(pauseOf(503, "1e300") == 24h);
+    CHECK(pauseOf(503, "-1") == std::nullopt);
+    CHECK(pauseOf(503, "Sat, 05 Dec 2026 10:00:00 GMT") == std::nullopt);
+    CHECK(pauseOf(503, "") == std::nullopt);
+    CHECK(pauseOf(500, "1") == std::nullopt);
+}
+
 TEST_CASE("refusal_has_retry_after_in_seconds", "[messages]")
 {
     const auto response = encodeOwnResponse(503, "r1", 250ms);
--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -197,6 +197,58 @@
     CHECK(servedRequests(servers.at("ledger-a")).size() == before);
 }
 
+// The entry of the server stays as it was: only its answers say that it leaves.
+TEST_CASE_METHOD(two_hosts, "server_that_states_to_leave_gets_no_more_requests_from_any_host")
+{
+    keyed_server_faults faults;
+    faults.leaving = true;
+    setServerFaults(servers.at("shop-a"), faults);
+    setServerFaults(servers.at("ledger-a"), faults);
+    waitUntil("the statement reaches both hosts", [&] {
+        const auto before = countArrivals(servers.at("shop-a"));
+        for (int index = 0; index < 8; ++index)
+            CHECK(statusOf(index % 2, {}) == 200);
+        return before > 0 && countArrivals(servers.at("shop-a")) == before;
+    });
+    // The keys are moved to the other server.
+    waitUntil("all keys are served by the other server", [&] {
+        const auto before = countArrivals(servers.at("ledger-a"));
+        std::size_t answered = 0;
+        for (std::uint32_t key = 0; key < 65536; key += 4099)
+            answered += statusOf(static_cast<int>(key % 2), keyedCall(key)) == 200 ? 1 : 0;
+        return answered == 16 && before > 0 && countArrivals(servers.at("ledger-a")) == before;
+    });
+}
+
+TEST_CASE_METHOD(two_hosts,
+                 "server_that_requests_a_pause_gets_no_request_from_that_host_until_it_is_over")
+{
+    keyed_server_faults faults;
+    faults.retryAfterSeconds = 1.5;
+    setAllFaults(faults);
+    caller_call order = orderCall("paused-order");
+    const auto refused = callHost(*this, 0, order);
+    CHECK(refused.response.status == 503);
+    CHECK(runsOf(*this, order.id) == 0);
+    const auto paused = monotonicNow();
+    setAllFaults({});
+    const auto shopArrivals = [&] {
+        return countArrivals(servers.at("shop-a")) + countArrivals(servers.at("shop-b"));
+    };
+    const auto before = shopArrivals();
+    CHECK(before >= 1);
+    while (monotonicNow() < paused + 1200ms) {
+        statusOf(0, {});
+        statusOf(0, orderCall("order-" + std::to_string(toMicroseconds(monotonicNow()))));
+        std::this_thread::sleep_for(20ms);
+    }
+    CHECK(shopArrivals() == before);
+    // The other host was not asked to pause.
+    CHECK(statusOf(1, {}) == 200);
+    waitUntil("the pause is over", [&] { return statusOf(0, {}) == 200; });
+    CHECK(monotonicNow() - paused < 3s);
+}
+
 TEST_CASE_METHOD(two_hosts, "evacuated_domain_gets_no_requests_until_it_is_in_service")
 {
     putItem(*store, "op/evacuate/a", "{}");
