Pass long answers on in parts and bound what a connection may bring

Cause: an answer was received whole, up to 64 MB, before its first byte went to the caller, and copied once on the way; with downloads and slow callers a host of 160 MB fills up. Ruled out: heads, interim answers and answers to other requests, which the parser bounds or which are now skipped up to a limit.

Change: up to held_answer_kb of an answer are held; the rest is read only as the caller takes it. All held answers together may take a quarter of the host's memory, beyond it parts of 16 KB are held. An answer that breaks off midway ends the caller's connection by a reset, without the end of its chunks. The receive buffers of client and server are bounded.

--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -216,7 +216,7 @@
     flow->router.ownership.parked.push_back({until, [flow] { dispatch(flow); }});
 }
 
-auto handleAttemptOutcome(const shared_flow &flow, const http_outcome &outcome) -> void;
+auto handleAttemptOutcome(const shared_flow &flow, http_outcome &&outcome) -> void;
 
 auto sendToServer(const shared_flow &flow, const held_permit &permit) -> void
 {
@@ -263,6 +263,7 @@
     options.preserveHeaders = true;
     options.connectTimeout = connectLimit;
     options.maxSendDelay = maxSendDelay;
+    options.heldBytes = flow->router.heldAnswerBytes;
     options.maxIdleAge = flow->matchedRoute->kind == repeatability::Idempotent
             ? maxIdleAgeIdempotent
             : maxIdleAgeAtMostOnce;
@@ -271,7 +272,7 @@
     const auto exchange = sendHttp(
             flow->router.servers, address,
             encodeServerRequest(flow->request, left - serverDeadlineMargin, permit.server), options,
-            [flow](const http_outcome &outcome) { handleAttemptOutcome(flow, outcome); });
+            [flow](http_outcome outcome) { handleAttemptOutcome(flow, std::move(outcome)); });
     auto callerGone = false;
     {
         const std::lock_guard guard(flow->lock);
@@ -324,7 +325,21 @@
               {"pause_ms", std::to_string(toMilliseconds(*report.pause))}});
 }
 
-auto handleAttemptOutcome(const shared_flow &flow, const http_outcome &outcome) -> void
+// Logs if the rest of an answer breaks off after its beginning was sent to the caller.
+auto logBrokenStream(const request_flow &flow, body_stream &rest) -> void
+{
+    rest.read = [read = std::move(rest.read), request = flow.callerRequest.id,
+                 server = flow.permit.server](body_part_callback done) {
+        read([done = std::move(done), request, server](body_part part) {
+            if (part.failed)
+                logEvent(log_level::Warn, "answer_broke_off",
+                         {{"request", request}, {"server", server}});
+            done(std::move(part));
+        });
+    };
+}
+
+auto handleAttemptOutcome(const shared_flow &flow, http_outcome &&outcome) -> void
 {
     const auto now = monotonicNow();
     const auto latency = now - flow->sentAt;
@@ -347,12 +362,15 @@
     const auto action = nextAction(flow->history, limits, flow->deadline - now);
     if (attemptResult != permit_result::Answered)
         logFailedAttempt(*flow, attemptResult, report, action, latency);
-    auto response = outcome.response;
+    auto response = std::move(outcome.response);
     if (action == attempt_action::Respond) {
+        if (response.rest)
+            logBrokenStream(*flow, *response.rest);
         answerCaller(flow, encodeCallerResponse(std::move(response)), request_result::Answered);
         return;
     }
-    if (attemptResult == permit_result::Failed)
+    // A failure whose body is not complete may break off, so it is not kept for later.
+    if (attemptResult == permit_result::Failed && !response.rest)
         flow->serverFailure = encodeCallerResponse(std::move(response));
     if (action != attempt_action::Retry) {
         finishRequest(flow, request_result::ServerRefused);
--- a/router/router.h
+++ b/router/router.h
@@ -270,6 +270,8 @@
     std::atomic<std::int64_t> storeFailedAt = std::numeric_limits<std::int64_t>::min() / 2;
     // True while this host receives store updates from another host, and before the first updates.
     std::atomic<bool> usesUpdateSource = true;
+    // The bytes of one answer that this host holds while it passes the answer on.
+    std::atomic<std::size_t> heldAnswerBytes = 0;
     std::atomic<bool> draining = false;
     std::atomic<bool> stopping = false;
     std::atomic<permit_number> nextPermit = 1;
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -29,6 +29,12 @@
 constexpr duration missingServersInterval = 500ms;
 
 constexpr std::size_t maxIdlePerServer = 6;
+// Answers may occupy 1/heldMemoryDivisor of the host's memory.
+constexpr std::size_t heldMemoryDivisor = 4;
+constexpr std::size_t bytesPerKilobyte = 1024;
+constexpr std::size_t bytesPerMegabyte = std::size_t(1024) * 1024;
+// The largest answer of the store: a page of about 1 MB, encoded as base64, or one value.
+constexpr std::size_t maxStoreAnswerBytes = std::size_t(8) * 1024 * 1024;
 // Sent bytes stay unacknowledged for this long only if the server's machine or the network to it
 // has failed.
 constexpr duration unacknowledgedLimit = 400ms;
@@ -94,10 +100,14 @@
     http_client_options serverOptions;
     serverOptions.maxIdlePerEndpoint = maxIdlePerServer;
     serverOptions.tcpUserTimeout = unacknowledgedLimit;
+    if (settings.size().memory_mb() > 0)
+        serverOptions.maxHeldBytes =
+                settings.size().memory_mb() * bytesPerMegabyte / heldMemoryDivisor;
     router.servers = makeHttpClient(*router.workers, serverOptions);
     http_client_options storeOptions;
     storeOptions.keepAliveInterval = storeKeepAliveProbe;
     storeOptions.tcpUserTimeout = storeUnacknowledgedLimit;
+    storeOptions.maxBodyBytes = maxStoreAnswerBytes;
     router.store.http = makeHttpClient(*router.workers, storeOptions);
     router.store.address = *parseEndpoint(settings.store_address());
     // Watches have connections of their own, so that no other call waits behind them.
@@ -186,6 +196,7 @@
 {
     auto router = std::make_unique<router_process>();
     router->settings.current = settings;
+    router->heldAnswerBytes = settings.held_answer_kb() * bytesPerKilobyte;
     const auto share = settings.size().cpu_share();
     router->self = {settings.host_id(), settings.failure_domain(), settings.peer_address(),
                     share > 0 ? share : 1};
@@ -214,8 +225,10 @@
         auto kept = router.settings.current;
         *kept.mutable_bounds() = settings.bounds();
         kept.set_log_level(settings.log_level());
+        kept.set_held_answer_kb(settings.held_answer_kb());
         router.settings.current = kept;
     }
+    router.heldAnswerBytes = settings.held_answer_kb() * bytesPerKilobyte;
     setLogLevel(*valueIn(logLevelNames, settings.log_level()));
     logEvent(log_level::Info, "reloaded", {{"log_level", settings.log_level()}});
 }
--- a/router/settings.cpp
+++ b/router/settings.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+constexpr std::uint32_t defaultHeldAnswerKb = 256;
+// An answer that is held needs more memory than this on no host.
+constexpr std::uint32_t maxHeldAnswerKb = 64 * 1024;
+
 auto addFault(std::string &faults, const std::string &path, const std::string &value,
               const std::string &allowed) -> void
 {
@@ -39,6 +43,8 @@
 {
     if (settings.worker_threads() == 0)
         settings.set_worker_threads(1);
+    if (settings.held_answer_kb() == 0)
+        settings.set_held_answer_kb(defaultHeldAnswerKb);
     if (settings.log_level().empty())
         settings.set_log_level("info");
 }
@@ -63,6 +69,9 @@
     checkAddress(faults, "metrics_address", settings.metrics_address());
     checkAddress(faults, "store_address", settings.store_address());
     checkBounds(faults, settings.bounds());
+    if (settings.held_answer_kb() > maxHeldAnswerKb)
+        addFault(faults, "held_answer_kb", std::to_string(settings.held_answer_kb()),
+                 "at most " + std::to_string(maxHeldAnswerKb));
     if (!valueIn(logLevelNames, settings.log_level()))
         addFault(faults, "log_level", settings.log_level(), "trace, debug, info, warn or error");
     if (!faults.empty())
--- /dev/null
+++ b/tests/transport/http_stream_test.cpp
@@ -0,0 +1,296 @@
+// Answers that are passed on in parts, answers that break off, and bytes that are no answer: what
+// is held stays bounded, and nothing incomplete looks complete.
+#include "support/raw_server.h"
+#include "transport/http_client.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+namespace parsleyloft {
+
+namespace {
+
+constexpr std::size_t heldBytes = std::size_t(64) * 1024;
+
+// A client that sends requests to a server which answers as the test says.
+struct client_of_a_raw_server
+{
+    auto serve(raw_handler handler) -> void
+    {
+        server = std::make_unique<raw_server>(std::move(handler));
+    }
+
+    // Answers every request with these bytes, and closes the connection.
+    auto answer(const std::string &bytes) -> void
+    {
+        serve([bytes](raw_connection &connection) {
+            sendAll(connection, bytes);
+            return false;
+        });
+    }
+
+    // Sends the bytes first, then the repeated ones until the client closes the connection.
+    auto answerWithoutEnd(const std::string &first, const std::string &repeated) -> void
+    {
+        serve([this, first, repeated](raw_connection &connection) {
+            auto open = sendAll(connection, first);
+            while (open && !server->stopping) {
+                open = sendAll(connection, repeated);
+                sentWithoutEnd += repeated.size();
+            }
+            closedByClient = !open;
+            return false;
+        });
+    }
+
+    auto call(duration timeout = 2s, std::size_t held = heldBytes) -> http_outcome
+    {
+        http_request request;
+        request.headers["Id"] = "r1";
+        http_send_options options;
+        options.timeout = timeout;
+        options.matchHeader = "Id";
+        options.heldBytes = held;
+        auto promise = std::make_shared<std::promise<http_outcome>>();
+        sendHttp(client, server->address, std::move(request), options,
+                 [promise](http_outcome outcome) { promise->set_value(std::move(outcome)); });
+        return promise->get_future().get();
+    }
+
+    static auto nextPart(body_stream &stream) -> body_part
+    {
+        auto promise = std::make_shared<std::promise<body_part>>();
+        stream.read([promise](body_part part) { promise->set_value(std::move(part)); });
+        return promise->get_future().get();
+    }
+
+    // Receives the rest of the body. Returns false if it broke off.
+    static auto receiveRest(http_outcome &outcome) -> bool
+    {
+        while (outcome.response.rest) {
+            auto part = nextPart(*outcome.response.rest);
+            outcome.response.body += part.bytes;
+            if (part.last)
+                return !part.failed;
+        }
+        return true;
+    }
+
+    ~client_of_a_raw_server()
+    {
+        stopWorkers(*pool);
+        client = {};
+    }
+
+    std::atomic<std::size_t> sentWithoutEnd = 0;
+    std::atomic<bool> closedByClient = false;
+    std::unique_ptr<raw_server> server;
+    std::unique_ptr<worker_pool> pool = startWorkers(2);
+    http_client client = makeHttpClient(*pool, 4);
+};
+
+const std::string ownHead = "HTTP/1.1 200 OK\r\nId: r1\r\n";
+
+auto chunk(const std::string &bytes) -> std::string
+{
+    char size[32];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE_METHOD(client_of_a_raw_server, "short_body_is_received_as_a_whole", "[stream]")
+{
+    const std::string body(1000, 'x');
+    SECTION("with_a_length")
+    {
+        answer(ownHead + "Content-Length: 1000\r\n\r\n" + body);
+    }
+    SECTION("in_chunks")
+    {
+        answer(ownHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body.substr(0, 1))
+               + chunk(body.substr(1)) + "0\r\n\r\n");
+    }
+    SECTION("until_the_close")
+    {
+        answer(ownHead + "\r\n" + body);
+    }
+    SECTION("empty")
+    {
+        answer(ownHead + "Content-Length: 0\r\n\r\n");
+        CHECK(call().response.body.empty());
+        return;
+    }
+    const auto outcome = call();
+    CHECK(outcome.failure == http_failure::None);
+    CHECK(outcome.response.rest == nullptr);
+    CHECK(outcome.response.body == body);
+}
+
+TEST_CASE_METHOD(client_of_a_raw_server, "long_body_is_received_in_parts", "[stream]")
+{
+    std::string body;
+    for (std::size_t index = 0; body.size() < 20 * heldBytes; ++index)
+        body += std::to_string(index) + " ";
+    auto hasLength = false;
+    SECTION("with_a_length")
+    {
+        answer(ownHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        hasLength = true;
+    }
+    SECTION("in_chunks")
+    {
+        answer(ownHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body.substr(0, 100))
+               + chunk(body.substr(100)) + "0\r\n\r\n");
+    }
+    SECTION("until_the_close")
+    {
+        answer(ownHead + "\r\n" + body);
+    }
+    auto outcome = call();
+    REQUIRE(outcome.failure == http_failure::None);
+    REQUIRE(outcome.response.rest);
+    CHECK(outcome.response.body.size() == heldBytes);
+    CHECK(outcome.response.rest->totalBytes.has_value() == hasLength);
+    CHECK(receiveRest(outcome));
+    CHECK(outcome.response.body == body);
+}
+
+// A slow receiver must slow the server down instead of filling this host's memory.
+TEST_CASE_METHOD(client_of_a_raw_server, "part_that_is_not_requested_is_not_received", "[stream]")
+{
+    answerWithoutEnd(ownHead + "\r\n", std::string(heldBytes, 'x'));
+    auto outcome = call(5s);
+    REQUIRE(outcome.response.rest);
+    // The kernel's buffers take a few megabytes.
+    std::this_thread::sleep_for(300ms);
+    const auto sent = sentWithoutEnd.load();
+    std::this_thread::sleep_for(300ms);
+    CHECK(sentWithoutEnd == sent);
+    outcome.response.rest.reset();
+    while (!closedByClient)
+        std::this_thread::sleep_for(1ms);
+}
+
+TEST_CASE_METHOD(client_of_a_raw_server, "body_that_breaks_off_is_not_complete", "[stream]")
+{
+    const std::string body(3 * heldBytes, 'x');
+    const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const auto chunked = "Transfer-Encoding: chunked\r\n\r\n" + chunk(body);
+    const auto breakOffAfter = [&](const std::string &bytes, bool reset) {
+        serve([bytes, reset](raw_connection &connection) {
+            sendAll(connection, bytes);
+            // The client has to receive the bytes before a reset discards them.
+            std::this_thread::sleep_for(50ms);
+            if (reset)
+                resetRaw(connection);
+            return false;
+        });
+        auto outcome = call();
+        CHECK((outcome.failure != http_failure::None || !receiveRest(outcome)));
+        server.reset();
+    };
+    for (const auto reset : {false, true}) {
+        const auto withLength = ownHead + length + body;
+        for (const auto cut :
+             {std::size_t(1), ownHead.size(), ownHead.size() + length.size() - 1,
+              ownHead.size() + length.size(), withLength.size() - heldBytes, withLength.size() - 1})
+            breakOffAfter(withLength.substr(0, cut), reset);
+        const auto inChunks = ownHead + chunked;
+        for (const auto cut : {inChunks.size() - heldBytes, inChunks.size() - 2, inChunks.size()})
+            breakOffAfter(inChunks.substr(0, cut), reset);
+        breakOffAfter(inChunks + "0\r\n", reset);
+    }
+    breakOffAfter(ownHead + "\r\n" + body, true);
+    breakOffAfter(ownHead + "\r\n", true);
+}
+
+TEST_CASE_METHOD(client_of_a_raw_server, "bytes_without_end_are_cut_off", "[stream]")
+{
+    const std::string filler(heldBytes, 'x');
+    const auto isClosed = [&] {
+        for (int tries = 0; tries < 3000 && !closedByClient; ++tries)
+            std::this_thread::sleep_for(1ms);
+        return closedByClient.load();
+    };
+    const auto failsWithinBytes = [&](std::size_t limit) {
+        const auto outcome = call(3s);
+        CHECK(outcome.failure != http_failure::None);
+        CHECK(outcome.failure != http_failure::TimedOut);
+        CHECK(isClosed());
+        CHECK(sentWithoutEnd < limit);
+    };
+    // The kernel's buffers hold some megabytes beside what the client reads.
+    constexpr std::size_t kernelBytes = std::size_t(16) * 1024 * 1024;
+    SECTION("that_are_no_http")
+    {
+        answerWithoutEnd("", filler);
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_a_status_line")
+    {
+        answerWithoutEnd("HTTP/1.1 200 ", filler);
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_a_header")
+    {
+        answerWithoutEnd(ownHead + "Filler: ", filler);
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_headers")
+    {
+        answerWithoutEnd(ownHead, "A: b\r\n");
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_interim_answers")
+    {
+        answerWithoutEnd("", "HTTP/1.1 100 Continue\r\n\r\n");
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_answers_to_other_requests")
+    {
+        answerWithoutEnd("", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nab");
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_the_body_of_an_answer_to_another_request")
+    {
+        answerWithoutEnd("HTTP/1.1 200 OK\r\nId: other\r\n\r\n", filler);
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_the_size_of_a_chunk")
+    {
+        answerWithoutEnd(ownHead + "Transfer-Encoding: chunked\r\n\r\n1;", filler);
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_the_trailer")
+    {
+        answerWithoutEnd(ownHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n");
+        failsWithinBytes(kernelBytes);
+    }
+    SECTION("in_a_body_that_is_received_as_a_whole")
+    {
+        http_client_options options;
+        options.maxBodyBytes = 4 * heldBytes;
+        client = makeHttpClient(*pool, options);
+        answerWithoutEnd(ownHead + "\r\n", filler);
+        CHECK(call(3s, 0).failure == http_failure::ResponseLost);
+        CHECK(isClosed());
+    }
+    SECTION("in_a_body_that_is_received_in_parts")
+    {
+        answerWithoutEnd(ownHead + "\r\n", filler);
+        auto outcome = call(500ms);
+        REQUIRE(outcome.response.rest);
+        // The body is passed on until the request's deadline.
+        body_part part;
+        while (!part.last)
+            part = nextPart(*outcome.response.rest);
+        CHECK(part.failed);
+        outcome.response.rest.reset();
+        CHECK(isClosed());
+    }
+}
+
+} // namespace parsleyloft
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -108,6 +108,40 @@
     CHECK(outcome.response.status == 0);
 }
 
+// The size line of a chunk, and the trailer, are limited neither by the limit of headers nor by
+// that of bodies: a caller could fill the host's memory with them.
+TEST_CASE_METHOD(server_and_client, "request_with_framing_without_end_is_cut_off", "[http]")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string start;
+    std::string repeated(4096, 'x');
+    SECTION("in_the_size_of_a_chunk")
+    {
+        start = head + "1;";
+    }
+    SECTION("in_the_trailer")
+    {
+        start = head + "0\r\n";
+        repeated = "A: b\r\n";
+    }
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in peer{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(address.port);
+    peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(socket, reinterpret_cast<sockaddr *>(&peer), sizeof(peer)) == 0);
+    std::size_t sent = 0;
+    auto open = ::send(socket, start.data(), start.size(), MSG_NOSIGNAL) > 0;
+    constexpr std::size_t kernelBytes = std::size_t(16) * 1024 * 1024;
+    while (open && sent < 2 * kernelBytes) {
+        open = ::send(socket, repeated.data(), repeated.size(), MSG_NOSIGNAL) > 0;
+        sent += repeated.size();
+    }
+    ::close(socket);
+    CHECK_FALSE(open);
+    CHECK(sent < kernelBytes);
+}
+
 TEST_CASE_METHOD(server_and_client, "body_over_the_limit_is_refused_as_not_run", "[http]")
 {
     http_request request;
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -15,7 +15,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <atomic>
 #include <charconv>
+#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -33,6 +35,16 @@
 constexpr duration idleTimeoutMargin = 1s;
 // Idle timeout assumed for servers that announce none.
 constexpr duration defaultIdleTimeout = 1s;
+constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
+// Size of the parts in which bodies are passed on, and of the first allocation for a body of
+// unknown length.
+constexpr std::size_t bodyPartBytes = std::size_t(16) * 1024;
+// Received bytes that are not parsed yet.
+constexpr std::size_t maxBufferedBytes = std::size_t(64) * 1024;
+// Responses to other requests are skipped up to these limits. A connection that brings more is
+// useless.
+constexpr std::size_t maxSkippedResponses = 8;
+constexpr std::size_t maxSkippedBytes = std::size_t(1024) * 1024;
 // Unanswered keep-alive probes after which the kernel closes a connection.
 constexpr int keepAliveProbeCount = 2;
 
@@ -67,6 +79,8 @@
     std::mutex lock;
     // Guarded by lock. Used as a stack: the most recently used connection is reused first.
     std::map<endpoint, std::vector<shared_connection>> idle;
+    // Bytes of bodies that are held.
+    std::atomic<std::size_t> heldBytes = 0;
 };
 
 // Accessed only on the executor once the exchange has started.
@@ -159,13 +173,12 @@
     return message;
 }
 
-auto toResponse(http::response<http::string_body> &&message) -> http_response
+auto toResponse(const http::response<http::buffer_body> &message) -> http_response
 {
     http_response response;
     response.status = message.result_int();
     for (const auto &field : message)
         addHeader(response.headers, std::string(field.name_string()), std::string(field.value()));
-    response.body = std::move(message.body());
     return response;
 }
 
@@ -241,74 +254,239 @@
     return *value == expectedValue ? response_match::Own : response_match::Other;
 }
 
+using body_parser = http::response_parser<http::buffer_body>;
+
+// Reads the responses on a connection, one after the other.
 struct response_reader
 {
+    shared_connection connection;
     bool isHead = false;
     std::string expectedValue;
-    beast::flat_buffer buffer;
-    // True once a response to another request has been skipped.
-    bool skippedOther = false;
+    // Bounded, because the size line of a chunk and the trailer have no other limit.
+    beast::flat_buffer buffer{maxBufferedBytes};
+    // The response that is being read.
+    std::optional<body_parser> parser;
+    // Responses to other requests, and their bytes, that were skipped.
+    std::size_t skippedResponses = 0;
+    std::size_t skippedBytes = 0;
 };
 
-// Reads one response message. Returns whether the connection can carry another request.
-auto readMessage(open_connection &connection, response_reader &reader, std::size_t maxBodyBytes,
-                 http_outcome &outcome) -> asio::awaitable<bool>
+using shared_reader = std::shared_ptr<response_reader>;
+
+auto readHeader(response_reader &reader) -> asio::awaitable<boost::system::error_code>
 {
+    reader.parser.emplace();
+    // Bodies are bounded by the parts in which they are received. Beast 1.74 takes an absent limit
+    // for a limit of zero.
+    reader.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    reader.parser->header_limit(maxHeaderBytes);
+    reader.parser->skip(reader.isHead);
     boost::system::error_code error;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxBodyBytes);
-    parser.skip(reader.isHead);
-    co_await http::async_read(connection.stream, reader.buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(reader.connection->stream, reader.buffer, *reader.parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    co_return error;
+}
+
+// The room for the next bytes of a body: all of it when its length is known, otherwise a size that
+// grows with the body.
+auto nextRoom(const body_parser &parser, std::size_t received, std::size_t limit) -> std::size_t
+{
+    const auto room = limit - received;
+    if (const auto remaining = parser.content_length_remaining())
+        return static_cast<std::size_t>(std::min<std::uint64_t>(*remaining, room));
+    return std::min(room, std::max(received, bodyPartBytes));
+}
+
+// Appends bytes to the body until the response is complete or the body has reached the limit.
+auto receiveBody(response_reader &reader, std::size_t limit, std::string &body)
+        -> asio::awaitable<boost::system::error_code>
+{
+    auto &parser = *reader.parser;
+    while (!parser.is_done() && body.size() < limit) {
+        const auto received = body.size();
+        const auto room = nextRoom(parser, received, limit);
+        body.resize(received + room);
+        auto &target = parser.get().body();
+        target.data = body.data() + received;
+        target.size = room;
+        boost::system::error_code error;
+        co_await http::async_read(reader.connection->stream, reader.buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        body.resize(received + room - target.size);
+        if (error && error != http::error::need_buffer)
+            co_return error;
+    }
+    co_return boost::system::error_code();
+}
+
+// Reads the body of a response to another request. Fails when there is too much of it.
+auto skipBody(response_reader &reader) -> asio::awaitable<boost::system::error_code>
+{
+    while (!reader.parser->is_done()) {
+        std::string part;
+        const auto error = co_await receiveBody(reader, bodyPartBytes, part);
+        reader.skippedBytes += part.size();
+        if (error)
+            co_return error;
+        if (reader.skippedBytes > maxSkippedBytes)
+            co_return make_error_code(http::error::body_limit);
+    }
+    co_return boost::system::error_code();
+}
+
+// True when the connection can carry another request after this response. A body without a length
+// ends when the server closes the connection.
+auto isReusable(const response_reader &reader) -> bool
+{
+    const auto &message = reader.parser->get();
+    return !message.need_eof() && message.keep_alive() && reader.buffer.size() == 0
+            && reader.skippedResponses == 0;
+}
+
+auto keepIfReusable(http_client::internals &client, const endpoint &to, response_reader &reader,
+                    const http_response &response) -> void
+{
+    if (!isReusable(reader))
+        return;
+    reader.connection->stream.expires_never();
+    keepIdle(client, to, reader.connection, reusableIdleTime(response));
+}
+
+// A response whose body is received in parts after its beginning.
+struct streamed_response
+{
+    std::shared_ptr<http_client::internals> client;
+    endpoint to;
+    shared_reader reader;
+    // The response without its body.
+    http_response head;
+};
+
+// Receives the next bytes of the body, as soon as there are any.
+auto receivePart(std::shared_ptr<streamed_response> response, body_part_callback done)
+        -> asio::awaitable<void>
+{
+    auto &reader = *response->reader;
+    auto &parser = *reader.parser;
+    body_part part;
+    boost::system::error_code error;
+    while (part.bytes.empty() && !parser.is_done() && !error) {
+        part.bytes.resize(bodyPartBytes);
+        auto &target = parser.get().body();
+        target.data = part.bytes.data();
+        target.size = part.bytes.size();
+        co_await http::async_read_some(reader.connection->stream, reader.buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        part.bytes.resize(part.bytes.size() - target.size);
+        if (error == http::error::need_buffer)
+            error = {};
+    }
+    part.failed = error.failed();
+    part.last = part.failed || parser.is_done();
+    if (part.last && !part.failed)
+        keepIfReusable(*response->client, response->to, reader, response->head);
+    done(std::move(part));
+}
+
+auto makeBodyStream(const shared_client &client, const endpoint &to, const shared_reader &reader,
+                    const http_response &head) -> std::shared_ptr<body_stream>
+{
+    auto stream = std::make_shared<body_stream>();
+    if (const auto total = reader->parser->content_length())
+        stream->totalBytes = *total;
+    auto state = std::make_shared<streamed_response>(streamed_response{client, to, reader, head});
+    stream->read = [state](body_part_callback done) {
+        asio::co_spawn(state->reader->connection->stream.get_executor(),
+                       receivePart(state, std::move(done)), asio::detached);
+    };
+    return stream;
+}
+
+// The bytes of the response's body that may be held.
+auto holdLimit(const http_client::internals &client, const http_send_options &options)
+        -> std::size_t
+{
+    if (options.heldBytes == 0)
+        return client.options.maxBodyBytes;
+    return client.heldBytes < client.options.maxHeldBytes ? options.heldBytes : bodyPartBytes;
+}
+
+// Counts the bytes as held until the result is destroyed.
+auto reserveBytes(const shared_client &client, std::size_t bytes) -> std::shared_ptr<void>
+{
+    client->heldBytes += bytes;
+    return {nullptr, [client, bytes](void *) { client->heldBytes -= bytes; }};
+}
+
+// Receives the body of the request's own response, or its beginning.
+auto receiveOwnBody(const shared_client &client, const request_job &job,
+                    const shared_reader &reader, http_outcome &outcome) -> asio::awaitable<void>
+{
+    auto &response = outcome.response;
+    const auto limit = holdLimit(*client, job.options);
+    const auto length = reader->parser->content_length();
+    response.reservation = reserveBytes(
+            client,
+            length ? static_cast<std::size_t>(std::min<std::uint64_t>(*length, limit)) : limit);
+    const auto error = co_await receiveBody(*reader, limit, response.body);
     if (error) {
         outcome.failure = toHttpFailure(error);
-        co_return false;
+    } else if (reader->parser->is_done()) {
+        response.reservation = reserveBytes(client, response.body.size());
+        keepIfReusable(*client, job.to, *reader, response);
+    } else if (job.options.heldBytes == 0) {
+        outcome.failure = http_failure::ResponseLost;
+    } else {
+        response.rest = makeBodyStream(client, job.to, reader, response);
     }
-    // A body without a length ends when the server closes the connection, which then cannot be
-    // reused. A connection reset has already been reported as an error above.
-    const auto framed = !parser.get().need_eof();
-    const auto reusable = framed && parser.get().keep_alive() && reader.buffer.size() == 0;
-    outcome.response = toResponse(parser.release());
-    outcome.response.headOnly = reader.isHead;
-    co_return reusable;
 }
 
-// Sends the request and reads responses until its own arrives. Returns whether the connection can
-// carry another request.
-auto exchangeOn(open_connection &connection, http::request<http::string_body> &message,
-                const request_job &job, std::size_t maxBodyBytes, http_outcome &outcome)
-        -> asio::awaitable<bool>
+// Sends the request and reads responses until its own arrives.
+auto exchangeOn(const shared_client &client, http::request<http::string_body> &message,
+                const request_job &job, http_outcome &outcome) -> asio::awaitable<void>
 {
+    const auto reader = std::make_shared<response_reader>();
+    reader->connection = job.exchange->connection;
+    reader->isHead = message.method() == http::verb::head;
+    const auto &header = job.options.matchHeader;
+    if (!header.empty())
+        reader->expectedValue = std::string(message[header]);
     boost::system::error_code error;
-    connection.stream.expires_at(job.deadline);
-    co_await http::async_write(connection.stream, message,
+    reader->connection->stream.expires_at(job.deadline);
+    co_await http::async_write(reader->connection->stream, message,
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         outcome.failure = toHttpFailure(error);
-        co_return false;
+        co_return;
     }
-    const auto &header = job.options.matchHeader;
-    response_reader reader;
-    reader.isHead = message.method() == http::verb::head;
-    if (!header.empty())
-        reader.expectedValue = std::string(message[header]);
+    std::size_t interimResponses = 0;
     while (true) {
-        const auto reusable = co_await readMessage(connection, reader, maxBodyBytes, outcome);
-        if (outcome.failure != http_failure::None) {
-            if (reader.skippedOther)
-                outcome.failure = http_failure::Mismatch;
-            co_return false;
-        }
+        error = co_await readHeader(*reader);
+        if (error)
+            break;
+        outcome.response = toResponse(reader->parser->get());
+        outcome.response.headOnly = reader->isHead;
         const auto interim = outcome.response.status < 200;
         if (!interim
-            && matchResponse(outcome.response, header, reader.expectedValue) == response_match::Own)
-            co_return reusable && !reader.skippedOther;
-        reader.skippedOther = reader.skippedOther || !interim;
-        if (!reusable && reader.buffer.size() == 0 && !interim) {
-            outcome.failure = http_failure::Mismatch;
-            co_return false;
+            && matchResponse(outcome.response, header, reader->expectedValue)
+                    == response_match::Own) {
+            co_await receiveOwnBody(client, job, reader, outcome);
+            co_return;
         }
+        if (interim)
+            ++interimResponses;
+        else
+            ++reader->skippedResponses;
+        // No other response can follow one that ends with the connection.
+        const auto endsConnection = !interim && reader->parser->get().need_eof();
+        error = co_await skipBody(*reader);
+        if (error || endsConnection
+            || interimResponses + reader->skippedResponses > maxSkippedResponses)
+            break;
     }
+    outcome.failure = error ? toHttpFailure(error) : http_failure::ResponseLost;
+    if (reader->skippedResponses > 0)
+        outcome.failure = http_failure::Mismatch;
 }
 
 // Reports the result to the callback. A partial response of a error exchange is discarded.
@@ -348,13 +526,7 @@
         finishJob(job, std::move(outcome));
         co_return;
     }
-    const auto connection = job.exchange->connection;
-    const auto reusable =
-            co_await exchangeOn(*connection, message, job, options.maxBodyBytes, outcome);
-    if (reusable) {
-        connection->stream.expires_never();
-        keepIdle(*client, job.to, connection, reusableIdleTime(outcome.response));
-    }
+    co_await exchangeOn(client, message, job, outcome);
     finishJob(job, std::move(outcome));
 }
 
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -57,6 +57,9 @@
     bool preserveHeaders = false;
     // Limit for establishing a new connection.
     duration connectTimeout = 1h;
+    // The bytes of a response's body that may be held at once. The rest of a longer body is left to
+    // the body_stream of the response. 0: the whole body is received first.
+    std::size_t heldBytes = 0;
     // If writing has not started this long after the call, the request is not sent.
     duration maxSendDelay = 1h;
 };
@@ -69,7 +72,11 @@
     duration tcpUserTimeout = 0us;
     // TCP keep-alive: idle time before the first probe, and between probes; 0 disables it.
     duration keepAliveInterval = 0us;
+    // A body that is received as a whole must not be longer.
     std::size_t maxBodyBytes = 64 * 1024 * 1024;
+    // Bytes of bodies held for all requests together. Beyond them the bodies of further responses
+    // are held in small parts only.
+    std::size_t maxHeldBytes = 256 * 1024 * 1024;
 };
 
 // Handle of a request in progress, used to cancel it.
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -59,11 +59,38 @@
     shared_caller_connection caller;
 };
 
+// A part of a body that is passed on while the rest is still being received.
+struct body_part
+{
+    std::string bytes;
+    // True when no more bytes follow.
+    bool last = false;
+    // True when the body broke off. What was received before must not look complete.
+    bool failed = false;
+};
+
+using body_part_callback = std::function<void(body_part)>;
+
+// The part of a response's body that has not been received yet. Destroying it closes the connection
+// that it comes from.
+struct body_stream
+{
+    // Size of the whole body, including the part received before. Empty when it is not known.
+    std::optional<std::uint64_t> totalBytes;
+    // Receives the next part. Called again only after the callback, which runs on any worker. Bytes
+    // that are not requested stay in the network, so a slow receiver slows down the sender.
+    std::function<void(body_part_callback)> read;
+};
+
 struct http_response
 {
     unsigned status = 200;
     header_list headers;
     std::string body;
+    // The rest of the body, if only its beginning is in `body`.
+    std::shared_ptr<body_stream> rest;
+    // Counts the body against its client's memory limit for as long as the response exists.
+    std::shared_ptr<void> reservation;
     // True for the response to a HEAD request: Content-Length describes a body that is not sent.
     bool headOnly = false;
     // Sends "Connection: close" and closes the connection after this response.
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -34,6 +34,8 @@
 constexpr duration drainingIdleTimeout = 1s;
 constexpr duration idleCheckPeriod = 200ms;
 constexpr duration writeTimeout = 10s;
+// Received bytes of a body that are not parsed yet.
+constexpr std::size_t maxBufferedBodyBytes = std::size_t(64) * 1024;
 
 // A connection of a caller. Accessed only on its own strand.
 struct open_connection
@@ -137,6 +139,26 @@
     return message;
 }
 
+// A response whose body is sent in parts, as they are received.
+auto toStreamedResponse(http_response &response, bool keepAlive, unsigned requestVersion)
+        -> http::response<http::buffer_body>
+{
+    http::response<http::buffer_body> message;
+    message.version(11);
+    message.result(response.status);
+    for (const auto &[name, value] : response.headers)
+        message.insert(name, value);
+    // A caller of HTTP/1.0 cannot read chunks: its body ends with the connection.
+    constexpr unsigned version11 = 11;
+    const auto &total = response.rest->totalBytes;
+    message.keep_alive(keepAlive && (total || requestVersion >= version11));
+    if (total)
+        message.content_length(*total);
+    else if (requestVersion >= version11)
+        message.chunked(true);
+    return message;
+}
+
 auto limitsOf(const shared_server &server) -> http_limits
 {
     const std::lock_guard guard(server->lock);
@@ -232,6 +254,60 @@
     co_return !error;
 }
 
+// Waits for the next part of a body on the connection's strand.
+auto awaitPart(const std::shared_ptr<body_stream> &rest) -> asio::awaitable<body_part>
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto start = [&](auto completion) {
+        auto shared = std::make_shared<decltype(completion)>(std::move(completion));
+        rest->read([shared, executor](body_part part) {
+            asio::post(executor, [shared, received = std::move(part)]() mutable {
+                (*shared)(std::move(received));
+            });
+        });
+    };
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(body_part)>(
+            start, asio::use_awaitable);
+}
+
+// Makes a body that ends with the connection look broken off.
+auto resetConnection(beast::tcp_stream &stream) -> void
+{
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream.socket().close(ignored);
+}
+
+// Sends a response while its body is being received. Returns false if the connection must be
+// closed, also because the body broke off.
+auto writeStreamedResponse(beast::tcp_stream &stream, http_response response, bool keepAlive,
+                           unsigned requestVersion) -> asio::awaitable<bool>
+{
+    auto message = toStreamedResponse(response, keepAlive, requestVersion);
+    const auto reusable = message.keep_alive();
+    http::response_serializer<http::buffer_body> serializer(message);
+    body_part part;
+    part.bytes = std::move(response.body);
+    while (true) {
+        message.body().data = part.bytes.empty() ? nullptr : part.bytes.data();
+        message.body().size = part.bytes.size();
+        message.body().more = !part.last;
+        boost::system::error_code error;
+        stream.expires_after(writeTimeout);
+        co_await http::async_write(stream, serializer,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != http::error::need_buffer)
+            co_return false;
+        if (part.last)
+            co_return reusable;
+        part = co_await awaitPart(response.rest);
+        if (part.failed) {
+            resetConnection(stream);
+            co_return false;
+        }
+    }
+}
+
 // Waits for the first bytes of a request. Returns false on an error, on a timeout, or when the
 // caller closes the connection.
 auto awaitRequest(const shared_server &server, open_connection &connection,
@@ -268,6 +344,8 @@
         -> asio::awaitable<boost::system::error_code>
 {
     const auto limits = limitsOf(server);
+    // The size line of a chunk and the trailer have no other limit.
+    buffer.max_size(std::max(buffer.size(), limits.maxHeaderBytes + maxBufferedBodyBytes));
     parser.body_limit(limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     boost::system::error_code error;
@@ -308,6 +386,7 @@
     const open_request open(server->requests);
     auto message = parser.release();
     const auto keepAliveRequested = message.keep_alive();
+    const auto requestVersion = message.version();
     stream.expires_never();
     auto request = toRequest(std::move(message));
     request.caller = std::make_shared<caller_connection>();
@@ -327,6 +406,9 @@
         co_return false;
     }
     const auto keepAlive = keepAliveRequested && !server->draining && !response.closeConnection;
+    if (response.rest)
+        co_return co_await writeStreamedResponse(stream, std::move(response), keepAlive,
+                                                 requestVersion);
     co_return co_await writeResponse(stream, std::move(response), keepAlive) && keepAlive;
 }
 
