Give short leases to the candidates for leadership only, and spread claims by rank

Change: the first 16 candidates for leadership keep leases of 3 s, the others have 12 s and renew them each 3.5 s. A host that becomes a candidate replaces its lease. Claims wait 40 ms for each rank, up to 3 s, instead of 0.2 s at most, and longer while the list of a large fleet is still incomplete.

--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -14,6 +14,18 @@
 // larger ones are unavailable.
 constexpr double smallShare = 0.5;
 
+// Hosts that may claim leadership at any time.
+constexpr std::size_t leaderCandidates = 16;
+constexpr lease_terms candidateLease{3s, 700ms};
+// Outlasts an outage of the store of 8 s.
+constexpr lease_terms ordinaryLease{12s, 3500ms};
+// Without a source of updates an ordinary host calls the store at least this often. Longer in
+// larger fleets, to bound the calls of all hosts together.
+constexpr duration minProbeInterval = 700ms;
+constexpr duration probeIntervalPerHost = 5ms;
+constexpr duration claimDelayPerRank = 40ms;
+constexpr duration maxClaimDelay = 3s;
+
 // Weighted rendezvous hashing: a host has the least distance with a probability in proportion to
 // its processor share.
 auto distanceOf(const member_host &host, std::uint64_t seed) -> double
@@ -111,6 +123,23 @@
     suspicion.until = now + suspicion.length;
 }
 
+auto leaseTermsFor(const lease_situation &situation) -> lease_terms
+{
+    if (situation.settled && situation.rank < leaderCandidates)
+        return candidateLease;
+    auto terms = ordinaryLease;
+    if (!situation.usesUpdateSource)
+        terms.renewAfter = std::clamp<duration>(
+                probeIntervalPerHost * static_cast<std::int64_t>(situation.hosts), minProbeInterval,
+                ordinaryLease.renewAfter);
+    return terms;
+}
+
+auto claimDelay(std::size_t rank) -> duration
+{
+    return std::min<duration>(claimDelayPerRank * static_cast<std::int64_t>(rank), maxClaimDelay);
+}
+
 auto leadershipRank(const std::map<host_id, member_host> &hosts, const host_id &host) -> std::size_t
 {
     const auto own = hosts.find(host);
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -46,6 +46,34 @@
 auto extendSuspicion(host_suspicion &suspicion, duration first, duration longest, instant now)
         -> void;
 
+// A host's lease at the store, and how often it is renewed.
+struct lease_terms
+{
+    duration length = 0us;
+    duration renewAfter = 0us;
+};
+
+// What a host's lease depends on.
+struct lease_situation
+{
+    std::size_t hosts = 1;
+    // The host's position among the candidates for leadership.
+    std::size_t rank = 0;
+    // True once the list of hosts has been read, so that the rank is known.
+    bool settled = false;
+    // True while the host receives updates from another host. Otherwise its renewals also show when
+    // the store can be reached again.
+    bool usesUpdateSource = false;
+};
+
+// The first candidates have short leases, so that a leader that fails is replaced soon. The others
+// need them only to be listed: theirs are long, so that the renewals of the fleet stay few.
+auto leaseTermsFor(const lease_situation &situation) -> lease_terms;
+
+// How long a host waits before it claims the leader's key, from when the key became free. Hosts of
+// higher rank wait for the candidates before them.
+auto claimDelay(std::size_t rank) -> duration;
+
 // The position of a host among the candidates for leadership, 0 for the first. Hosts with a larger
 // processor share come first.
 auto leadershipRank(const std::map<host_id, member_host> &hosts, const host_id &host)
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -11,15 +11,25 @@
 
 namespace {
 
-// A leader that fails is replaced after this time. Renewals are at least three times as frequent.
-constexpr duration leaseDuration = 3s;
 // This host considers its lease ended this much earlier than the store does, to allow for clock
 // rates and scheduling.
 constexpr duration leaseMargin = 200ms;
-// Larger hosts claim the leader's key first. The others wait longer by rank, and claim it if the
-// larger ones are not there.
-constexpr duration claimDelayPerRank = 40ms;
-constexpr duration maxClaimDelay = 200ms;
+// While all hosts start at once, the list of hosts is complete only after this time for each host.
+constexpr duration settleDelayPerHost = 2ms;
+constexpr duration maxSettleDelay = 400ms;
+
+// The terms that this host's lease should have now.
+auto wantedTerms(router_process &router) -> lease_terms
+{
+    lease_situation situation;
+    situation.usesUpdateSource = router.usesUpdateSource;
+    const std::lock_guard guard(router.members.lock);
+    const auto &members = router.members;
+    situation.hosts = members.hosts.size();
+    situation.rank = leadershipRank(members.hosts, router.self.id);
+    situation.settled = monotonicNow() >= members.leaderlessSince;
+    return leaseTermsFor(situation);
+}
 
 auto clearCallInFlight(router_process &router) -> void
 {
@@ -30,8 +40,10 @@
 auto recordRenewal(router_process &router, instant sentAt) -> void
 {
     const std::lock_guard guard(router.leadership.lock);
-    router.leadership.leaseValidUntil = sentAt + leaseDuration - leaseMargin;
-    router.leadership.callInFlight = false;
+    auto &own = router.leadership;
+    own.renewedAt = sentAt;
+    own.leaseValidUntil = sentAt + own.leaseLength - leaseMargin;
+    own.callInFlight = false;
 }
 
 auto handleLeaseLost(router_process &router) -> void
@@ -61,10 +73,12 @@
     });
 }
 
-auto acquireLease(router_process &router) -> void
+// Opens a lease and announces this host under it. A lease that it replaces is left to lapse: no key
+// depends on it then.
+auto acquireLease(router_process &router, duration length) -> void
 {
     const auto sentAt = monotonicNow();
-    openLease(router.store, leaseDuration, [&router, sentAt](const result<lease_id> &response) {
+    openLease(router.store, length, [&router, sentAt, length](const result<lease_id> &response) {
         countStoreCall(router.metrics, "lease", response.has_value());
         if (!response) {
             recordStoreFailure(router);
@@ -74,8 +88,12 @@
         recordStoreAnswer(router);
         {
             const std::lock_guard guard(router.leadership.lock);
-            router.leadership.lease = *response;
-            router.leadership.leaseValidUntil = sentAt + leaseDuration - leaseMargin;
+            auto &own = router.leadership;
+            own.lease = *response;
+            own.leaseLength = length;
+            own.renewedAt = sentAt;
+            own.leaseValidUntil = sentAt + length - leaseMargin;
+            own.announced = false;
         }
         announce(router, *response);
     });
@@ -98,22 +116,39 @@
     });
 }
 
+// True when the lease is short enough for a leader.
+auto holdsCandidateLease(router_process &router) -> bool
+{
+    const auto terms = leaseTermsFor({1, 0, true, false});
+    const std::lock_guard guard(router.leadership.lock);
+    return router.leadership.lease != 0 && router.leadership.leaseLength <= terms.length;
+}
+
 } // namespace
 
 auto renewLease(router_process &router) -> void
 {
+    const auto terms = wantedTerms(router);
     lease_id lease = 0;
     auto announced = false;
     {
         const std::lock_guard guard(router.leadership.lock);
-        if (router.leadership.callInFlight || router.leadership.leaving)
+        auto &own = router.leadership;
+        if (own.callInFlight || own.leaving)
             return;
-        router.leadership.callInFlight = true;
-        lease = router.leadership.lease;
-        announced = router.leadership.announced;
+        // A lease that is longer than needed is kept otherwise.
+        if (own.lease != 0 && own.leaseLength > terms.length)
+            own.lease = 0;
+        lease = own.lease;
+        announced = own.announced;
+        // Renewals come with the rounds, so one that is due before the next round is due now.
+        const auto sinceRenewal = monotonicNow() - own.renewedAt;
+        if (lease != 0 && announced && sinceRenewal + renewalRound / 2 < terms.renewAfter)
+            return;
+        own.callInFlight = true;
     }
     if (lease == 0)
-        acquireLease(router);
+        acquireLease(router, terms.length);
     else if (!announced)
         announce(router, lease);
     else
@@ -126,12 +161,18 @@
         const std::lock_guard guard(router.members.lock);
         if (router.members.leader.revision != 0)
             return;
-        const auto rank = leadershipRank(router.members.hosts, router.self.id);
-        const auto delay = std::min<duration>(claimDelayPerRank * static_cast<std::int64_t>(rank),
-                                              maxClaimDelay);
-        if (monotonicNow() < router.members.leaderlessSince + delay)
+        const auto &members = router.members;
+        const auto settle = std::min<duration>(
+                settleDelayPerHost * static_cast<std::int64_t>(members.hosts.size()),
+                maxSettleDelay);
+        const auto delay = claimDelay(leadershipRank(members.hosts, router.self.id));
+        if (monotonicNow() < members.leaderlessSince + settle + delay)
             return;
     }
+    if (!holdsCandidateLease(router)) {
+        renewLease(router);
+        return;
+    }
     store_change change;
     leader_claim claim;
     {
--- a/router/leadership.h
+++ b/router/leadership.h
@@ -6,7 +6,10 @@
 
 namespace parsleyloft {
 
-// Acquires or renews the lease, and announces this host under it.
+// How often renewLease is called.
+inline constexpr duration renewalRound = 700ms;
+
+// Acquires the lease, renews it when that is due, and announces this host under it.
 auto renewLease(router_process &router) -> void;
 
 // Writes the leader's key if it is free and it is this host's turn to claim it.
--- a/router/router.h
+++ b/router/router.h
@@ -220,6 +220,10 @@
     std::mutex lock;
     // All guarded by lock. 0 while this host has no lease.
     lease_id lease = 0;
+    // The time to live with which the lease was opened.
+    duration leaseLength = 0us;
+    // When the lease was last renewed, and when it is renewed next.
+    instant renewedAt{};
     // The lease is valid at the store at least until then.
     instant leaseValidUntil{};
     // True once this host's entry has been written under the lease.
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-// Leases last 3 s, so four renewals fit in. To a host that serves updates they also show that it
-// still reaches the store.
-constexpr duration leaseRenewInterval = 700ms;
 constexpr duration claimInterval = 100ms;
 constexpr duration initialClaimDelay = 300ms;
 constexpr duration ownershipInterval = 40ms;
@@ -163,7 +160,7 @@
         beginSync(router);
         renewLease(router);
     });
-    repeatWhileRunning(router, leaseRenewInterval, renewLease);
+    repeatWhileRunning(router, renewalRound, renewLease);
     repeatWhileRunning(router, claimInterval, claimLeadership);
     repeatWhileRunning(router, ownershipInterval, manageOwnership);
     repeatWhileRunning(router, waitingHostsInterval, answerDueHosts);
--- /dev/null
+++ b/tests/decisions/membership_test.cpp
@@ -0,0 +1,92 @@
+// Tests of the roles of hosts in large fleets: leases, and the claims when the leader is gone.
+#include "decisions/membership.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+
+namespace parsleyloft {
+
+namespace {
+
+struct fleet
+{
+    // A twentieth of the hosts is large.
+    explicit fleet(std::size_t size)
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            const auto id = "h" + std::to_string(index);
+            hosts[id] = {id, "d" + std::to_string(index % 5), "10.0.0.1:1",
+                         index % 20 == 0 ? 0.5 : 0.1};
+        }
+    }
+
+    auto termsOf(const host_id &id, bool usesUpdateSource = true) const -> lease_terms
+    {
+        return leaseTermsFor({hosts.size(), leadershipRank(hosts, id), true, usesUpdateSource});
+    }
+
+    // Renewals of all hosts in a second.
+    auto renewalRate(bool usesUpdateSource) const -> double
+    {
+        double rate = 0;
+        for (const auto &[id, host] : hosts)
+            rate += 1
+                    / std::chrono::duration<double>(termsOf(id, usesUpdateSource).renewAfter)
+                              .count();
+        return rate;
+    }
+
+    std::map<host_id, member_host> hosts;
+};
+
+} // namespace
+
+// The lease of every host used to be renewed each 0.7 s: 430 calls a second at 300 hosts.
+TEST_CASE("renewals_of_a_large_fleet_stay_few", "[membership]")
+{
+    CHECK(fleet(300).renewalRate(true) < 120);
+    CHECK(fleet(1000).renewalRate(true) < 320);
+    // While the store is away all hosts probe it themselves.
+    CHECK(fleet(300).renewalRate(false) < 240);
+    CHECK(fleet(1000).renewalRate(false) < 320);
+}
+
+TEST_CASE("leader_of_any_fleet_is_replaced_within_its_short_lease", "[membership]")
+{
+    for (const std::size_t size : {1, 3, 10, 60, 300, 1000}) {
+        const fleet hosts(size);
+        std::size_t candidates = 0;
+        for (const auto &[id, host] : hosts.hosts) {
+            const auto terms = hosts.termsOf(id);
+            // Three renewals fit in, so that a lost one ends nothing.
+            CHECK(terms.length >= 3 * terms.renewAfter);
+            candidates += terms.length <= 3s ? 1 : 0;
+        }
+        CHECK(candidates == std::min<std::size_t>(size, 16));
+    }
+}
+
+TEST_CASE("ordinary_lease_outlasts_an_outage_of_the_store", "[membership]")
+{
+    const auto terms = leaseTermsFor({300, 200, true, true});
+    CHECK(terms.length - terms.renewAfter >= 8s);
+}
+
+TEST_CASE("host_that_does_not_know_the_others_yet_has_no_short_lease", "[membership]")
+{
+    CHECK(leaseTermsFor({1, 0, false, false}).length > 3s);
+}
+
+// All hosts notice a lost leader at the same time. Each claim costs a call.
+TEST_CASE("claims_after_the_loss_of_a_leader_are_spread_over_the_fleet", "[membership]")
+{
+    std::size_t early = 0;
+    for (std::size_t rank = 0; rank < 300; ++rank)
+        early += claimDelay(rank) < 200ms ? 1 : 0;
+    CHECK(early <= 5);
+    CHECK(claimDelay(0) == 0us);
+    CHECK(claimDelay(1000) <= 3s);
+}
+
+} // namespace parsleyloft
