Relay updates in each failure domain of a large fleet

Ruled out: the impairment alone, which took the store from a third of the hosts, while the lost leader was counted on all of them.

Change: from 100 hosts on the first two candidates of each failure domain relay updates to the others there; the leader serves them and the standby. Reports of work and of leaving servers go the same way back. A relay that loses its source lets its hosts wait for the next one.

--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -14,6 +14,9 @@
 // larger ones are unavailable.
 constexpr double smallShare = 0.5;
 
+// From this size on, updates go through relays: one copy crosses to each failure domain, and the
+// leader serves two hosts of each instead of all.
+constexpr std::size_t minRelayedFleet = 100;
 // Hosts that may claim leadership at any time.
 constexpr std::size_t leaderCandidates = 16;
 constexpr lease_terms candidateLease{3s, 700ms};
@@ -92,15 +95,53 @@
     return queueHosts;
 }
 
+auto findRelays(const std::map<host_id, member_host> &hosts, const domain_id &domain,
+                const host_id &leader) -> std::vector<host_id>
+{
+    std::vector<host_id> relays;
+    if (hosts.size() < minRelayedFleet)
+        return relays;
+    const member_host *first = nullptr;
+    const member_host *second = nullptr;
+    for (const auto &[id, host] : hosts) {
+        if (host.domain != domain || id == leader)
+            continue;
+        if (first == nullptr || precedes(host, *first)) {
+            second = first;
+            first = &host;
+        } else if (second == nullptr || precedes(host, *second)) {
+            second = &host;
+        }
+    }
+    for (const auto *relay : {first, second}) {
+        if (relay != nullptr)
+            relays.push_back(relay->id);
+    }
+    return relays;
+}
+
 auto findUpdateSources(const std::map<host_id, member_host> &hosts, const host_id &leader,
                        const host_id &self) -> std::vector<host_id>
 {
+    if (leader == self)
+        return {};
     std::vector<host_id> sources;
-    if (leader != self && hosts.contains(leader))
-        sources.push_back(leader);
     const auto *standby = firstCandidate(hosts, leader);
-    if (leader != self && standby != nullptr && standby->id != self)
-        sources.push_back(standby->id);
+    const auto isStandby = standby != nullptr && standby->id == self;
+    const auto own = hosts.find(self);
+    if (own != hosts.end() && !isStandby) {
+        sources = findRelays(hosts, own->second.domain, leader);
+        if (std::find(sources.begin(), sources.end(), self) != sources.end())
+            sources.clear();
+    }
+    const auto add = [&](const host_id &id) {
+        if (std::find(sources.begin(), sources.end(), id) == sources.end())
+            sources.push_back(id);
+    };
+    if (hosts.contains(leader))
+        add(leader);
+    if (standby != nullptr && !isStandby)
+        add(standby->id);
     return sources;
 }
 
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -13,9 +13,16 @@
 auto rankQueueHosts(const std::map<host_id, member_host> &hosts, const group_id &group)
         -> std::vector<host_id>;
 
-// The hosts that a host requests store updates from: the leader, then the standby, which is the
-// first of the other hosts in the order of leadershipRank. The standby itself uses only the leader,
-// so that no two hosts wait for each other. An empty leader means that there is none.
+// The hosts of a failure domain that relay updates to the others there, the first choice first: the
+// first two of the domain in the order of leadershipRank, without the leader. Empty in small
+// fleets, whose leader serves every host itself.
+auto findRelays(const std::map<host_id, member_host> &hosts, const domain_id &domain,
+                const host_id &leader) -> std::vector<host_id>;
+
+// The hosts that a host requests store updates from: the relays of its failure domain, the leader,
+// then the standby, which is the first of the other hosts in the order of leadershipRank. Relays
+// use only the leader and the standby, and the standby only the leader, so that no two hosts wait
+// for each other. An empty leader means that there is none.
 auto findUpdateSources(const std::map<host_id, member_host> &hosts, const host_id &leader,
                        const host_id &self) -> std::vector<host_id>;
 
--- a/router/router.h
+++ b/router/router.h
@@ -160,6 +160,8 @@
     instant nextOwnersRead{};
     // The host that sent the last updates, or empty.
     host_id source;
+    // When this host's source was last current.
+    instant sourceCurrentAt{};
     // Hosts that could not serve updates, or did not answer.
     std::map<host_id, host_suspicion> suspicions;
     // Consecutive calls that found no connection to the source.
@@ -196,6 +198,8 @@
     std::mutex lock;
     // All guarded by lock. Work requested here since the last report to the leader.
     std::map<service_name, work_by_key> requested;
+    // Slowness of servers, by service, that other hosts reported to this host as their relay.
+    std::map<service_name, std::map<server_id, double>> relayedSlowness;
     // Smoothed latency of each route at this host: the estimated work of one request.
     std::map<route_name, duration> smoothedLatency;
     // At the leader: the work that the hosts reported, and the load computed from it.
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -257,6 +257,12 @@
     return follower.listed && follower.failures == 0 && !follower.idle;
 }
 
+auto isListed(store_follower &follower) -> bool
+{
+    const std::lock_guard guard(follower.lock);
+    return follower.listed;
+}
+
 auto followedRevision(store_follower &follower) -> store_revision
 {
     const std::lock_guard guard(follower.lock);
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -65,6 +65,9 @@
 // True while the follower has read the prefix and watches it without failures.
 auto isCurrent(store_follower &follower) -> bool;
 
+// True once all keys under the prefix have been received, from the store or from another host.
+auto isListed(store_follower &follower) -> bool;
+
 // The revision up to which the follower has followed the store.
 auto followedRevision(store_follower &follower) -> store_revision;
 
--- a/router/update_source.cpp
+++ b/router/update_source.cpp
@@ -14,6 +14,8 @@
 // Hosts that start at the same time have announced themselves after this.
 constexpr duration hostsReadInterval = 400ms;
 constexpr duration startupWait = 1500ms;
+// In fleets with relays the updates of the first leader take one more step.
+constexpr duration relayedStartupWait = 2500ms;
 
 } // namespace
 
@@ -69,9 +71,13 @@
 {
     const auto now = monotonicNow();
     const std::scoped_lock guard(router.members.lock, router.updateSync.lock);
-    if (router.directory.loaded || now >= router.updateSync.startupWaitUntil)
-        return false;
     const auto &members = router.members;
+    const auto relayed =
+            !findRelays(members.hosts, router.self.domain, members.leader.host).empty();
+    const auto waitUntil = router.updateSync.startupWaitUntil
+            + (relayed ? relayedStartupWait - startupWait : duration(0));
+    if (router.directory.loaded || now >= waitUntil)
+        return false;
     // The leader's key may still name the previous run of this host. The other hosts then request
     // updates from this one, so it must not wait for them.
     if (members.leader.host == router.self.id)
--- a/router/update_sync.cpp
+++ b/router/update_sync.cpp
@@ -3,6 +3,7 @@
 
 #include "codec/compression.h"
 #include "codec/shared_state_codec.h"
+#include "decisions/membership.h"
 #include "platform/site_decoder.h"
 #include "router/leadership.h"
 #include "router/site_sync.h"
@@ -28,6 +29,9 @@
 // A host that has had no answer from the store for longer serves no updates. Together with the
 // check interval this stays well under the time in which requests to a leaving server must stop.
 constexpr duration maxStoreSilence = 1050ms;
+// A source answers each 0.4 s. A relay whose source is silent for longer than this serves no
+// updates.
+constexpr duration maxSourceSilence = 900ms;
 // Changes that arrive close together are sent together. Each flush costs the leader a message to
 // every host, so it is delayed longer in larger fleets. The delay is acceptable because a change
 // has to be known everywhere only within 2 s or more.
@@ -41,10 +45,32 @@
 // Bound for decompressed values: sixteen times the largest value that the store accepts.
 constexpr std::size_t maxValueBytes = 16U << 20U;
 
+// A relay serves the updates of its own source while that is current.
+auto canRelayUpdates(router_process &router) -> bool
+{
+    {
+        const std::lock_guard guard(router.updateSync.lock);
+        if (monotonicNow() - router.updateSync.sourceCurrentAt > maxSourceSilence)
+            return false;
+    }
+    return std::all_of(router.followers.begin(), router.followers.end(),
+                       [](const auto &follower) { return isListed(*follower); });
+}
+
+auto isRelay(router_process &router) -> bool
+{
+    const std::lock_guard guard(router.members.lock);
+    const auto relays =
+            findRelays(router.members.hosts, router.self.domain, router.members.leader.host);
+    return std::find(relays.begin(), relays.end(), router.self.id) != relays.end();
+}
+
 auto canServeUpdates(router_process &router) -> bool
 {
+    if (router.usesUpdateSource)
+        return isRelay(router) && canRelayUpdates(router);
     const auto answeredAt = fromMicroseconds(router.storeAnsweredAt);
-    if (router.usesUpdateSource || monotonicNow() - answeredAt > maxStoreSilence)
+    if (monotonicNow() - answeredAt > maxStoreSilence)
         return false;
     return std::all_of(router.followers.begin(), router.followers.end(),
                        [](const auto &follower) { return isCurrent(*follower); });
@@ -281,6 +307,8 @@
 auto applyReply(router_process &router, const wire::SyncReply &reply) -> bool
 {
     auto decoded = true;
+    if (reply.changes_size() > 0)
+        scheduleUpdateFlush(router);
     for (const auto &change : reply.owner_changes())
         applyOwnershipChange(router, change);
     for (const auto &changes : reply.changes())
@@ -353,6 +381,10 @@
 {
     if (reply && reply->current() && applyReply(router, *reply)) {
         confirmSource(router, source.id);
+        {
+            const std::lock_guard guard(router.updateSync.lock);
+            router.updateSync.sourceCurrentAt = monotonicNow();
+        }
         setUsesUpdateSource(router, true);
         scheduleSync(router, 0us);
         return;
@@ -401,7 +433,14 @@
 auto answerSync(router_process &router, wire::SyncRequest request,
                 peer_responder<wire::SyncReply> respond) -> void
 {
-    recordWorkReport(router, request);
+    if (router.usesUpdateSource) {
+        relayWorkReport(router, request);
+        // A relay that loses its source soon has another one. Its hosts wait for that, instead of
+        // all turning to the leader and the standby.
+        request.set_patient(true);
+    } else {
+        recordWorkReport(router, request);
+    }
     auto reply = makeReply(router, request);
     if (isReplyDue(request, reply)) {
         respond(std::move(reply));
--- a/router/work_reports.cpp
+++ b/router/work_reports.cpp
@@ -120,6 +120,14 @@
             }
         }
         router.work.requested.clear();
+        for (const auto &[service, servers] : router.work.relayedSlowness) {
+            for (const auto &[server, slowness] : servers) {
+                auto *message = work[service].add_servers();
+                message->set_server_id(server);
+                message->set_slowness(slowness);
+            }
+        }
+        router.work.relayedSlowness.clear();
     }
     addServerSlowness(router, work);
     addLeavingServers(router, report);
@@ -130,6 +138,23 @@
     return report;
 }
 
+auto relayWorkReport(router_process &router, const wire::SyncRequest &report) -> void
+{
+    for (const auto &server : report.leaving())
+        adoptLeavingServer(router, server.server_id(), server.start_time_ms());
+    const std::lock_guard guard(router.work.lock);
+    for (const auto &service : report.services()) {
+        auto &requested = router.work.requested[service.service()];
+        for (const auto &keyWork : service.keys()) {
+            if (keyWork.key() <= lastKey)
+                requested[keyWork.key()] += keyWork.work_us();
+        }
+        auto &slowness = router.work.relayedSlowness[service.service()];
+        for (const auto &server : service.servers())
+            slowness[server.server_id()] = server.slowness();
+    }
+}
+
 auto recordWorkReport(router_process &router, const wire::SyncRequest &report) -> void
 {
     for (const auto &server : report.leaving())
--- a/router/work_reports.h
+++ b/router/work_reports.h
@@ -10,6 +10,9 @@
 // The work that callers requested at this host since its last report, as part of a sync request.
 auto takeWorkReport(router_process &router) -> wire::SyncRequest;
 
+// At a relay: adds the report of another host to this host's next one.
+auto relayWorkReport(router_process &router, const wire::SyncRequest &report) -> void;
+
 // At the leader: adds a host's report to the reported work.
 auto recordWorkReport(router_process &router, const wire::SyncRequest &report) -> void;
 
--- a/tests/decisions/membership_test.cpp
+++ b/tests/decisions/membership_test.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <cmath>
+#include <algorithm>
 
 namespace parsleyloft {
 
@@ -42,6 +42,69 @@
 
 } // namespace
 
+// One leader that answers every host spends its processor and its link on that: at 295 hosts it
+// came so late that hosts took it for lost and all turned to the store.
+TEST_CASE("updates_of_a_large_fleet_are_relayed_in_each_failure_domain", "[membership]")
+{
+    const fleet large(GENERATE(300, 1000));
+    const auto leader =
+            std::find_if(large.hosts.begin(), large.hosts.end(), [&](const auto &entry) {
+                return leadershipRank(large.hosts, entry.first) == 0;
+            })->first;
+    std::map<host_id, std::size_t> served;
+    for (const auto &[id, host] : large.hosts) {
+        const auto sources = findUpdateSources(large.hosts, leader, id);
+        if (id == leader) {
+            CHECK(sources.empty());
+            continue;
+        }
+        REQUIRE_FALSE(sources.empty());
+        ++served[sources.front()];
+        // Two further sources stand in when the first one fails.
+        const auto rank = leadershipRank(large.hosts, id);
+        CHECK(sources.size() >= (rank == 1 ? 1 : 2));
+        const auto &first = large.hosts.at(sources.front());
+        CHECK((first.id == leader || first.domain == host.domain));
+    }
+    // Two relays in each of five failure domains, and the standby.
+    CHECK(served.at(leader) <= 11);
+    for (const auto &[id, count] : served)
+        CHECK(count <= large.hosts.size() / 5);
+}
+
+TEST_CASE("no_two_hosts_wait_for_updates_of_each_other", "[membership]")
+{
+    const fleet large(300);
+    for (const host_id leader : {"h0", "h7", "h20", "gone", ""}) {
+        // Follows every source of every source: the way always ends at the leader or the standby.
+        std::map<host_id, std::vector<host_id>> sources;
+        for (const auto &[id, host] : large.hosts)
+            sources[id] = findUpdateSources(large.hosts, leader, id);
+        for (const auto &[id, host] : large.hosts) {
+            std::set<host_id> reached{id};
+            std::vector<host_id> open{id};
+            std::size_t steps = 0;
+            auto cycle = false;
+            while (!open.empty() && !cycle && ++steps < 1000) {
+                const auto next = open.back();
+                open.pop_back();
+                for (const auto &source : sources[next]) {
+                    cycle = cycle || source == id;
+                    if (reached.insert(source).second)
+                        open.push_back(source);
+                }
+            }
+            CHECK_FALSE(cycle);
+        }
+    }
+}
+
+TEST_CASE("leader_of_a_small_fleet_serves_every_host_itself", "[membership]")
+{
+    const fleet small(77);
+    CHECK(findRelays(small.hosts, "d1", "h0").empty());
+}
+
 // The lease of every host used to be renewed each 0.7 s: 430 calls a second at 300 hosts.
 TEST_CASE("renewals_of_a_large_fleet_stay_few", "[membership]")
 {
