Keep the first table of hundreds of servers inside the keys, and move more keys at a time

Cause: (1) with four slices for each server and a least width of 64 keys, the first table of more than 256 servers went beyond the last key; hosts refuse such a table, and a new leader could not read it. On the large site most servers are still cold when the first table is made, which hid it.

Change: the slices of the first table are at most as many as fit; one move at a time for each 8 servers instead of 24.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -47,7 +47,7 @@
 // Ranges this narrow may be moved even when slices are no longer split.
 constexpr key_number narrowRange = 64;
 // With many servers, one concurrent move is allowed for each this many.
-constexpr std::size_t serversPerMove = 24;
+constexpr std::size_t serversPerMove = 8;
 // Values outside these bounds are not meaningful: they come from a stopped server or from very few
 // answers.
 constexpr double minSlowness = 0.5;
@@ -124,7 +124,8 @@
     if (listed.empty() || now < manager.balanceFrom)
         return std::nullopt;
     auto table = manager.table;
-    const auto count = static_cast<std::uint32_t>(listed.size()) * manager.limits.slicesPerServer;
+    const auto wanted = static_cast<std::uint32_t>(listed.size()) * manager.limits.slicesPerServer;
+    const auto count = std::min<std::uint32_t>(wanted, (lastKey + 1) / initialGranularity);
     const auto width = std::max<key_number>(
             initialGranularity, (lastKey + 1) / count / initialGranularity * initialGranularity);
     for (std::uint32_t index = 0; index < count; ++index) {
