Let requests wait for a short pause of their key's owner

Cause: while the owner of a key was paused (60 ms after it had turned a request away), every request for its keys was refused at once, because a paused server counted as one that starts nothing; and an owner that did not hold a key any more, just moved away, was avoided for 200 ms and more with all its other keys. Ruled out: full queues, which refuse by their own estimate.

Change: the wait for an owner includes the rest of its pause; a 421 of the right server costs it nothing. A connection that is reset at once pauses the server for 60 ms, as some servers do so when they are full. Writes of the table for moves are collected for 0.5 ms for each server of the service.

--- a/decisions/permit_queue.cpp
+++ b/decisions/permit_queue.cpp
@@ -22,6 +22,9 @@
 // A failure costs about two answers: the lost one and its repetition.
 constexpr double failureCost = 3;
 constexpr duration shedPause = 60ms;
+// A server that is full may reset the connection instead of refusing the request. It does so at
+// once, while a connection that is lost during the work ends later.
+constexpr duration fullResetLatency = 20ms;
 constexpr duration minUnreachablePause = 200ms;
 constexpr duration maxUnreachablePause = 3s;
 constexpr std::uint32_t maxPauseDoublings = 4;
@@ -215,17 +218,23 @@
 {
     const auto latency = static_cast<double>(std::max(queue.meanLatency, duration(1)).count());
     double startsPerMicrosecond = 0;
+    // A request that needs the owner waits for the end of the owner's pause.
+    auto pause = 0us;
     for (const auto &[id, server] : queue.servers) {
-        if (!server.usable || now < server.pausedUntil || (!owner.empty() && id != owner))
+        const auto paused = now < server.pausedUntil;
+        if (!server.usable || (!owner.empty() && id != owner) || (owner.empty() && paused))
             continue;
         if (hasFreeSlot(queue, server, now))
             return 0us;
+        if (paused)
+            pause = server.pausedUntil - now;
         startsPerMicrosecond += server.slots / (latency * currentSlowness(server, now));
     }
     if (startsPerMicrosecond <= 0)
         return 1h;
-    return duration(
-            static_cast<std::int64_t>(static_cast<double>(ahead + 1) / startsPerMicrosecond));
+    return pause
+            + duration(static_cast<std::int64_t>(static_cast<double>(ahead + 1)
+                                                 / startsPerMicrosecond));
 }
 
 // The number of waiting requests that are more urgent than this one.
@@ -307,8 +316,12 @@
         recordLatency(queue, server, route, returned.latency, now);
         break;
     case permit_result::Failed:
+        recordFailure(server, true);
+        break;
     case permit_result::Lost:
         recordFailure(server, true);
+        if (returned.latency < fullResetLatency)
+            server.pausedUntil = std::max(server.pausedUntil, now + shedPause);
         break;
     case permit_result::TimedOut:
         recordFailure(server, true);
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -17,6 +17,9 @@
 
 // Slices that have become held are stored with the next change of the table, or after this.
 constexpr duration maxUnstoredTime = 1s;
+// Each decision costs a write of the table. With hundreds of servers moves are collected; owners
+// that are gone are still replaced at once.
+constexpr duration balanceIntervalPerServer = 500us;
 // Delay before the table is read after a failed read or write of it.
 constexpr duration tableReadDelay = 250ms;
 // With less than this left, a renewal of the lease has failed or is late.
@@ -286,11 +289,16 @@
     }
     if (managed.writeInFlight)
         return round;
-    updateLoad(router, service, countServers(directory, service), now);
+    const auto servers = countServers(directory, service);
+    updateLoad(router, service, servers, now);
     round.planned = planOwnership(managed.manager, directory, router.work.loads[service], now);
     if (!round.planned && managed.unstoredSince && now - *managed.unstoredSince >= maxUnstoredTime)
         round.planned = managed.manager.table;
     managed.writeInFlight = round.planned.has_value();
+    if (round.planned)
+        managed.manager.balanceFrom =
+                std::max(managed.manager.balanceFrom,
+                         now + balanceIntervalPerServer * static_cast<std::int64_t>(servers));
     return round;
 }
 
--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -346,8 +346,11 @@
     const auto report = decodeAttempt(outcome, flow->permit.server);
     const auto attemptResult = classifyAttempt(report);
     recordServerStatements(*flow, report, now);
-    permit_return returned{flow->permit.number, attemptResult, latency,
-                           decodeLoad(outcome.response), std::nullopt};
+    // A server that does not hold the key, for instance because it has just been moved, is no worse
+    // than others.
+    const auto keyNotHeld = attemptResult == permit_result::Misdirected && !report.otherServer;
+    permit_return returned{flow->permit.number, keyNotHeld ? permit_result::Unused : attemptResult,
+                           latency, decodeLoad(outcome.response), std::nullopt};
     if (report.leaving && !report.otherServer)
         returned.leavingStartMs = flow->serverStartMs;
     returnHeldPermit(flow->router, flow->permit, returned);
--- a/tests/decisions/permit_queue_test.cpp
+++ b/tests/decisions/permit_queue_test.cpp
@@ -24,7 +24,8 @@
         setPermitServers(queue, listed);
     }
 
-    auto submit(const server_id &owner = {}, std::uint32_t priority = 1) -> refusal
+    auto submit(const server_id &owner = {}, std::uint32_t priority = 1, bool acceptLate = false)
+            -> refusal
     {
         permit_request request;
         request.number = ++lastNumber;
@@ -34,6 +35,7 @@
         request.arrived = now;
         request.targetEnds = now + 300ms;
         request.deadline = now + 1200ms;
+        request.acceptLate = acceptLate;
         return admit(queue, request, now);
     }
 
@@ -62,6 +64,28 @@
     CHECK(issuePermits(queue, now).size() == 1);
 }
 
+// Some servers reset the connection when they are full, instead of refusing the request.
+TEST_CASE_METHOD(queue_of_two_servers, "server_that_resets_at_once_is_spared_for_a_moment",
+                 "[permit_queue]")
+{
+    submit("s1");
+    REQUIRE(issuePermits(queue, now).size() == 1);
+    SECTION("after_a_reset_at_once")
+    {
+        finish(lastNumber, permit_result::Lost, 2ms);
+        // Only the owner can run the request, so it waits for the end of the pause.
+        CHECK(submit("s1", 1, true) == refusal::None);
+        CHECK(issuePermits(queue, now + 30ms).empty());
+        CHECK(issuePermits(queue, now + 100ms).size() == 1);
+    }
+    SECTION("but_not_after_a_connection_that_was_lost_during_the_work")
+    {
+        finish(lastNumber, permit_result::Lost, 80ms);
+        submit("s1");
+        CHECK(issuePermits(queue, now + 1ms).size() == 1);
+    }
+}
+
 TEST_CASE_METHOD(queue_of_two_servers, "request_for_an_owner_waits_only_for_that_server",
                  "[permit_queue]")
 {
