Let a host that joins a small fleet read the store once at its start

Ruled out: the start of the processes (0.1 s) and the decoding.

Change: a host whose first list of hosts names a leader reads configuration, servers and owners once itself (3 calls), and serves with them until its updates come. It leads and passes updates on only once it follows the store.

--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -184,7 +184,7 @@
         claim = {router.self.id, own.lease, 0};
         change.writes.push_back({std::string(leaderKey), encodeLeader(claim), own.lease});
     }
-    if (!router.directory.loaded)
+    if (!router.directory.confirmed)
         return;
     changeItems(router.store, change, [&router, claim](const result<store_revision> &response) {
         countStoreCall(router.metrics, "claim", response.has_value());
--- a/router/router.h
+++ b/router/router.h
@@ -57,6 +57,8 @@
     std::atomic<std::uint64_t> version = 0;
     // True once the server entries have been read completely.
     std::atomic<bool> loaded = false;
+    // True once they are followed too.
+    std::atomic<bool> confirmed = false;
 };
 
 // A request that waits until its key has an owner. It is resumed at `until` at the latest.
@@ -85,6 +87,8 @@
     // Hosts that did not answer a permit request.
     std::map<host_id, host_suspicion> suspicions;
     leader_claim leader;
+    // True once the list of hosts has been read.
+    bool listed = false;
     // When this host last saw the leader's key change. The delay before this host claims leadership
     // counts from then.
     instant leaderlessSince{};
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -203,6 +203,12 @@
     if (!present.contains(std::string(leaderKey))) {
         router.members.leader = {};
     }
+    // A host that joins a running fleet need not wait for its updates. In large fleets the reads of
+    // all hosts together would cost more than the wait.
+    const auto joins = present.contains(std::string(leaderKey))
+            && findRelays(router.members.hosts, router.self.domain, {}).empty();
+    if (!std::exchange(router.members.listed, true) && joins)
+        post(*router.workers, [&router] { beginEarlyReads(router); });
 }
 
 using item_handler = void (*)(router_process &, const store_item &);
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -2,6 +2,7 @@
 #include "router/store_follower.h"
 
 #include "decisions/server_directory.h"
+#include "platform/site_decoder.h"
 #include "router/update_sync.h"
 #include "telemetry/event_log.h"
 
@@ -162,12 +163,21 @@
     });
 }
 
+// Called with the follower's lock held.
+auto confirm(store_follower &self) -> void
+{
+    self.confirmed = true;
+    if (self.prefix == serversPrefix)
+        self.router.directory.confirmed = true;
+}
+
 auto handleListing(const shared_follower &self, const store_items &found) -> void
 {
     recordStoreAnswer(self->router);
     {
         const std::lock_guard guard(self->lock);
         self->failures = 0;
+        confirm(*self);
         applyFullState(*self, {found.items, {}, found.revision, true});
     }
     scheduleUpdateFlush(self->router);
@@ -180,6 +190,7 @@
     {
         const std::lock_guard guard(self->lock);
         self->failures = 0;
+        confirm(*self);
         for (const auto &item : events.items)
             applyItem(*self, item);
         self->revision = std::max(self->revision, events.revision);
@@ -242,6 +253,31 @@
             new store_follower{router, prefix, watchDelay, std::move(handlers), {}, {}, {}});
 }
 
+auto beginEarlyListing(const std::shared_ptr<store_follower> &follower) -> void
+{
+    listItems(follower->router.store, follower->prefix,
+              [follower](const result<store_items> &response) {
+                  countStoreCall(follower->router.metrics, "range", response.has_value());
+                  if (!response) {
+                      logEvent(log_level::Info, "early_read_failed",
+                               {{"prefix", follower->prefix}, {"detail", response.error().detail}});
+                      return;
+                  }
+                  const std::lock_guard guard(follower->lock);
+                  if (!follower->listed)
+                      applyFullState(*follower, {response->items, {}, response->revision, true});
+              });
+}
+
+auto confirmFollowers(router_process &router) -> void
+{
+    for (const auto &follower : router.followers) {
+        const std::lock_guard guard(follower->lock);
+        if (follower->listed)
+            confirm(*follower);
+    }
+}
+
 auto beginFollowing(const std::shared_ptr<store_follower> &follower) -> void
 {
     {
@@ -254,13 +290,13 @@
 auto isCurrent(store_follower &follower) -> bool
 {
     const std::lock_guard guard(follower.lock);
-    return follower.listed && follower.failures == 0 && !follower.idle;
+    return follower.confirmed && follower.failures == 0 && !follower.idle;
 }
 
-auto isListed(store_follower &follower) -> bool
+auto isConfirmed(store_follower &follower) -> bool
 {
     const std::lock_guard guard(follower.lock);
-    return follower.listed;
+    return follower.confirmed;
 }
 
 auto followedRevision(store_follower &follower) -> store_revision
@@ -319,14 +355,14 @@
 {
     // The host that sent the updates may have lost the store.
     recordStoreFailure(follower->router);
-    auto listed = false;
+    auto confirmed = false;
     {
         const std::lock_guard guard(follower->lock);
         if (!std::exchange(follower->idle, false))
             return;
-        listed = follower->listed;
+        confirmed = follower->confirmed;
     }
-    if (listed)
+    if (confirmed)
         beginWatch(follower);
     else
         beginListing(follower);
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -36,6 +36,8 @@
     store_revision revision = 0;
     // True once all keys have been read.
     bool listed = false;
+    // True once they are followed too, by a watch or by another host's updates.
+    bool confirmed = false;
     // True while neither a watch nor a full read is under way.
     bool idle = true;
     // Consecutive failed calls.
@@ -59,14 +61,20 @@
 auto makeFollower(router_process &router, const std::string &prefix, duration watchDelay,
                   follower_handlers handlers) -> std::shared_ptr<store_follower>;
 
+// Reads all keys once, without following them. Ignored if the follower has received them meanwhile.
+auto beginEarlyListing(const std::shared_ptr<store_follower> &follower) -> void;
+
+// Records that another host's updates have reached every follower that has been listed.
+auto confirmFollowers(router_process &router) -> void;
+
 // Starts with a full read. The handlers are called by workers, one at a time.
 auto beginFollowing(const std::shared_ptr<store_follower> &follower) -> void;
 
 // True while the follower has read the prefix and watches it without failures.
 auto isCurrent(store_follower &follower) -> bool;
 
-// True once all keys under the prefix have been received, from the store or from another host.
-auto isListed(store_follower &follower) -> bool;
+// True once the prefix has been listed and is followed.
+auto isConfirmed(store_follower &follower) -> bool;
 
 // The revision up to which the follower has followed the store.
 auto followedRevision(store_follower &follower) -> store_revision;
--- a/router/update_source.cpp
+++ b/router/update_source.cpp
@@ -76,7 +76,7 @@
             !findRelays(members.hosts, router.self.domain, members.leader.host).empty();
     const auto waitUntil = router.updateSync.startupWaitUntil
             + (relayed ? relayedStartupWait - startupWait : duration(0));
-    if (router.directory.loaded || now >= waitUntil)
+    if (router.directory.confirmed || now >= waitUntil)
         return false;
     // The leader's key may still name the previous run of this host. The other hosts then request
     // updates from this one, so it must not wait for them.
--- a/router/update_sync.cpp
+++ b/router/update_sync.cpp
@@ -54,7 +54,7 @@
             return false;
     }
     return std::all_of(router.followers.begin(), router.followers.end(),
-                       [](const auto &follower) { return isListed(*follower); });
+                       [](const auto &follower) { return isConfirmed(*follower); });
 }
 
 auto isRelay(router_process &router) -> bool
@@ -229,18 +229,8 @@
     return router.directory.storeUnreachableSince.has_value();
 }
 
-// Reads the ownership tables from the store at an interval, while no update source sends them.
-auto readOwners(router_process &router) -> void
+auto listOwners(router_process &router) -> void
 {
-    if (isStoreUnreachable(router))
-        return;
-    {
-        const auto now = monotonicNow();
-        const std::lock_guard guard(router.updateSync.lock);
-        if (now < router.updateSync.nextOwnersRead)
-            return;
-        router.updateSync.nextOwnersRead = now + ownersReadInterval;
-    }
     listItems(router.store, std::string(ownersPrefix), [&router](const result<store_items> &reply) {
         countStoreCall(router.metrics, "range", reply.has_value());
         if (!reply)
@@ -257,6 +247,21 @@
     });
 }
 
+// Reads the ownership tables from the store at an interval, while no update source sends them.
+auto readOwners(router_process &router) -> void
+{
+    if (isStoreUnreachable(router))
+        return;
+    {
+        const auto now = monotonicNow();
+        const std::lock_guard guard(router.updateSync.lock);
+        if (now < router.updateSync.nextOwnersRead)
+            return;
+        router.updateSync.nextOwnersRead = now + ownersReadInterval;
+    }
+    listOwners(router);
+}
+
 // After a change that cannot be applied, the next sync request asks for the whole table.
 auto applyOwnershipChange(router_process &router, const wire::OwnershipChange &message) -> void
 {
@@ -381,6 +386,7 @@
 {
     if (reply && reply->current() && applyReply(router, *reply)) {
         confirmSource(router, source.id);
+        confirmFollowers(router);
         {
             const std::lock_guard guard(router.updateSync.lock);
             router.updateSync.sourceCurrentAt = monotonicNow();
@@ -424,6 +430,15 @@
 
 } // namespace
 
+auto beginEarlyReads(router_process &router) -> void
+{
+    for (const auto &follower : router.followers) {
+        if (follower->prefix != livePrefix)
+            beginEarlyListing(follower);
+    }
+    listOwners(router);
+}
+
 auto beginUpdateSync(router_process &router) -> void
 {
     beginStartupWait(router);
