Hold the claim of a test's ports until its stand-ins have released them

Cause: host_started_without_the_store... failed once in 0.01 s of a run with four tests side by side: the store's port was in use. The fixture closed its claim on the range in its destructor, before its stand-ins closed their listening sockets, so another test could claim the range in between. Not reproduced at will; the order is wrong in any case.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -23,23 +23,30 @@
 
 } // namespace
 
-auto claimPorts() -> std::pair<std::uint16_t, int>
+port_claim::port_claim()
 {
     constexpr int base = 10000;
     constexpr int ranges = 200;
     for (int step = 0; step < ranges; ++step) {
         const auto first = base + (getpid() + step) % ranges * portsPerRange;
-        const auto claim = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto claim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         address.sin_port = htons(static_cast<std::uint16_t>(first + portsPerRange - 1));
-        if (bind(claim, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0)
-            return {static_cast<std::uint16_t>(first), claim};
+        if (bind(claim, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0) {
+            firstPort = static_cast<std::uint16_t>(first);
+            socket = claim;
+            return;
+        }
         close(claim);
     }
     FAIL("no range of ports is free");
-    return {};
+}
+
+port_claim::~port_claim()
+{
+    close(socket);
 }
 
 auto spawnProcess(const std::string &program, std::vector<std::string> arguments,
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -5,14 +5,22 @@
 #include <functional>
 #include <string>
 #include <sys/types.h>
-#include <utility>
 #include <vector>
 
 namespace parsleyloft {
 
-// Claims a range of 100 ports, so that tests that run at the same time use different ports. Returns
-// the first port and a socket bound to the last one, which holds the claim.
-auto claimPorts() -> std::pair<std::uint16_t, int>;
+// A range of 100 ports. While it exists, tests that run at the same time use other ranges.
+struct port_claim
+{
+    port_claim();
+    ~port_claim();
+    port_claim(const port_claim &) = delete;
+    auto operator=(const port_claim &) -> port_claim & = delete;
+
+    std::uint16_t firstPort = 0;
+    // Bound to the last port, which holds the claim.
+    int socket = -1;
+};
 
 // Starts a program with its output and errors appended to the given files.
 auto spawnProcess(const std::string &program, std::vector<std::string> arguments,
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -93,9 +93,7 @@
     auto name = (std::filesystem::temp_directory_path() / "parsleyloft-XXXXXX").string();
     REQUIRE(mkdtemp(name.data()) != nullptr);
     directory = name;
-    const auto [firstPort, claim] = claimPorts();
-    portClaim = claim;
-    plan = planDeployment(deployment, directory, firstPort);
+    plan = planDeployment(deployment, directory, ports.firstPort);
     spawn(*this, "platform", PARSLEYLOFT_LAB,
           {"platform", "--listen=" + plan.platformAddress,
            "--journal=" + directory + "/platform.journal"});
@@ -119,7 +117,6 @@
         waitpid(pid, nullptr, 0);
     }
     stopWorkers(*workers);
-    close(portClaim);
     if (std::getenv("PARSLEYLOFT_KEEP") == nullptr)
         std::filesystem::remove_all(directory);
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -26,12 +26,12 @@
     cluster(const cluster &) = delete;
     auto operator=(const cluster &) -> cluster & = delete;
 
+    // Destroyed last. The processes do not inherit its socket.
+    port_claim ports;
     wire::Deployment deployment;
     deployment_plan plan;
     std::string directory;
     std::map<std::string, pid_t> processes;
-    // The socket that claims this cluster's range of ports. Not inherited by the processes.
-    int portClaim = -1;
     std::unique_ptr<worker_pool> workers = startWorkers(1);
     http_client client = makeHttpClient(*workers, 0);
 };
--- a/tests/support/site_cluster.cpp
+++ b/tests/support/site_cluster.cpp
@@ -30,7 +30,7 @@
 
 auto addressAt(const site_cluster &cluster, int offset) -> endpoint
 {
-    return {"127.0.0.1", static_cast<std::uint16_t>(cluster.firstPort + offset)};
+    return {"127.0.0.1", static_cast<std::uint16_t>(cluster.ports.firstPort + offset)};
 }
 
 auto toText(const endpoint &address) -> std::string
@@ -100,7 +100,6 @@
     auto name = (std::filesystem::temp_directory_path() / "parsleyloft-XXXXXX").string();
     REQUIRE(mkdtemp(name.data()) != nullptr);
     directory = name;
-    std::tie(firstPort, portGuard) = claimPorts();
     store = startStore(*workers, addressAt(*this, storeOffset));
     REQUIRE(store);
     putConfiguration(*this, 1);
@@ -121,7 +120,6 @@
         waitpid(pid, nullptr, 0);
     }
     stopWorkers(*workers);
-    close(portGuard);
     if (std::getenv("PARSLEYLOFT_KEEP") == nullptr)
         std::filesystem::remove_all(directory);
 }
--- a/tests/support/site_cluster.h
+++ b/tests/support/site_cluster.h
@@ -22,9 +22,8 @@
     site_cluster(const site_cluster &) = delete;
     auto operator=(const site_cluster &) -> site_cluster & = delete;
 
-    std::uint16_t firstPort = 0;
-    // Descriptor that reserves the ports from firstPort on.
-    int portGuard = -1;
+    // Destroyed last, after the stand-ins have released their ports.
+    port_claim ports;
     std::string directory;
     std::map<std::string, pid_t> processes;
     std::unique_ptr<worker_pool> workers = startWorkers(2);
