Scan the hosts that wait at a relay only when there is something to send

Found by reading: a relay marked every request as patient, and patient requests are looked at in each round while the host is current, so it compared all waiting requests with all recent changes 20 times a second. Requests at a relay now wait without that mark, and whether a host can serve is worked out once a round instead of once a request.

--- a/router/update_sync.cpp
+++ b/router/update_sync.cpp
@@ -166,10 +166,12 @@
         changes->add_unchanged(key);
 }
 
-auto makeReply(router_process &router, const wire::SyncRequest &request) -> wire::SyncReply
+// current says whether this host can serve updates now.
+auto makeReply(router_process &router, const wire::SyncRequest &request, bool current)
+        -> wire::SyncReply
 {
     wire::SyncReply reply;
-    reply.set_current(canServeUpdates(router));
+    reply.set_current(current);
     if (!reply.current())
         return reply;
     for (const auto &position : request.positions()) {
@@ -182,11 +184,19 @@
     return reply;
 }
 
-// True when the reply should be sent at once. A patient request also waits while this host is not
-// current, because it may become current during the call.
-auto isReplyDue(const wire::SyncRequest &request, const wire::SyncReply &reply) -> bool
+// True when a request waits while this host is not current, because it may become so during the
+// call. That holds for patient requests, and for all at a relay: a relay that loses its source soon
+// has another one, and its hosts should not all turn to the leader and the standby meanwhile.
+auto waitsForCurrent(const router_process &router, const wire::SyncRequest &request) -> bool
 {
-    return (!reply.current() && !request.patient()) || reply.changes_size() > 0
+    return request.patient() || router.usesUpdateSource;
+}
+
+// True when the reply should be sent at once.
+auto isReplyDue(const router_process &router, const wire::SyncRequest &request,
+                const wire::SyncReply &reply) -> bool
+{
+    return (!reply.current() && !waitsForCurrent(router, request)) || reply.changes_size() > 0
             || reply.owners_size() > 0 || reply.owner_changes_size() > 0;
 }
 
@@ -200,10 +210,11 @@
         waiting.swap(router.updateSync.waiting);
     }
     const auto now = monotonicNow();
+    const auto current = canServeUpdates(router);
     std::vector<waiting_host> stillWaiting;
     for (auto &host : waiting) {
-        auto reply = makeReply(router, host.request);
-        if (isReplyDue(host.request, reply) || now >= host.until)
+        auto reply = makeReply(router, host.request, current);
+        if (isReplyDue(router, host.request, reply) || now >= host.until)
             host.respond(std::move(reply));
         else
             stillWaiting.push_back(std::move(host));
@@ -448,16 +459,12 @@
 auto answerSync(router_process &router, wire::SyncRequest request,
                 peer_responder<wire::SyncReply> respond) -> void
 {
-    if (router.usesUpdateSource) {
+    if (router.usesUpdateSource)
         relayWorkReport(router, request);
-        // A relay that loses its source soon has another one. Its hosts wait for that, instead of
-        // all turning to the leader and the standby.
-        request.set_patient(true);
-    } else {
+    else
         recordWorkReport(router, request);
-    }
-    auto reply = makeReply(router, request);
-    if (isReplyDue(request, reply)) {
+    auto reply = makeReply(router, request, canServeUpdates(router));
+    if (isReplyDue(router, request, reply)) {
         respond(std::move(reply));
         return;
     }
@@ -486,11 +493,13 @@
     {
         const auto now = monotonicNow();
         const std::lock_guard guard(router.updateSync.lock);
-        const auto due =
-                std::any_of(router.updateSync.waiting.begin(), router.updateSync.waiting.end(),
-                            [&](const auto &host) {
-                                return now >= host.until || host.request.patient() == current;
-                            });
+        const auto due = std::any_of(router.updateSync.waiting.begin(),
+                                     router.updateSync.waiting.end(), [&](const auto &host) {
+                                         const auto changed = current
+                                                 ? host.request.patient()
+                                                 : !waitsForCurrent(router, host.request);
+                                         return now >= host.until || changed;
+                                     });
         if (!due)
             return;
     }
