--- a/router/update_sync.h
+++ b/router/update_sync.h
@@ -5,8 +5,8 @@
 
 namespace parsleyloft {
 
-// Reads the store's state once. A host that joins others serves with it until its updates come: they
-// take longer when all hosts start at once.
+// Reads the store's state once. A host that joins others serves with it until its updates come:
+// they take longer when all hosts start at once.
 auto beginEarlyReads(router_process &router) -> void;
 
 // Starts requesting updates from the update source. While no source answers, this host watches the
