--- a/tests/platform/site_decoder_test.cpp
+++ b/tests/platform/site_decoder_test.cpp
@@ -314,6 +314,11 @@
             REQUIRE(decoded.routes.size() == 1);
             CHECK(decoded.routes[0].name == "r2");
         }
+        SECTION("no_name")
+        {
+            const auto decoded = decodeWith("\"name\":\"r1\",", "", 0);
+            CHECK(decoded.routes[0].name == "a.example/x/");
+        }
         SECTION("route_that_is_no_object")
         {
             const auto decoded = decodeWith("\"routes\":[", "\"routes\":[17,", 1);
--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -2,6 +2,7 @@
 #include "lab/keyed_server_stand_in.h"
 #include "platform/server_messages.h"
 #include "platform/site_store.h"
+#include "support/raw_server.h"
 
 #include <catch2/catch.hpp>
 
@@ -190,4 +191,52 @@
     CHECK(countHeldKeys(*server) == 0);
 }
 
+// An odd item must not end the following of all others.
+TEST_CASE_METHOD(store_and_client, "malformed_item_of_an_answer_affects_that_item_only", "[store]")
+{
+    std::string body;
+    raw_server raw([&](raw_connection &connection) {
+        return sendAll(connection,
+                       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                               + "\r\n\r\n" + body);
+    });
+    client.address = raw.address;
+    SECTION("in_a_page")
+    {
+        body = R"({"items":[{"key":"servers/a","value":"YQ==","revision":3},)"
+               R"({"value":"YQ==","revision":3},17,{"key":"servers/b","value":"%%","revision":4},)"
+               R"({"key":"servers/c","value":"Yw==","revision":"5"}],"more":false,"at":9})";
+        const auto page = list("servers/");
+        REQUIRE(page);
+        REQUIRE(page->items.size() == 3);
+        CHECK(page->items[0].value == "a");
+        CHECK(page->items[1].value.empty());
+        CHECK(page->items[2].value == "c");
+        CHECK(page->revision == 9);
+    }
+    SECTION("in_a_watch")
+    {
+        body = R"({"events":[{"key":"op/x","revision":[]},{"key":"op/y","deleted":true,)"
+               R"("revision":12}],"at":12})";
+        const auto events = watch("op/", 1, 100ms);
+        REQUIRE(events);
+        REQUIRE(events->items.size() == 2);
+        CHECK(events->items[0].revision == 0);
+        CHECK(events->items[1].deleted);
+    }
+    SECTION("in_pages_without_end")
+    {
+        body = R"({"items":[{"key":"servers/a","value":"YQ==","revision":3}],"more":true,"at":9})";
+        const auto page = list("servers/");
+        REQUIRE(page);
+        CHECK(page->items.size() == 2);
+    }
+    SECTION("unless_the_answer_is_no_json")
+    {
+        body = "{\"items\":[";
+        CHECK_FALSE(list("servers/"));
+    }
+    client.http = {};
+}
+
 } // namespace parsleyloft
