Wait for callbacks in one place, and list pauses only for requests that need them

The wait for a part of a body repeated the wait for a handler's response: awaitCallback serves both. Permit requests of keyed requests copied the excluded servers and locked the directory for a list that they then dropped. A comment promised a member that does not exist. Behaviour stays as it is.

--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -412,8 +412,10 @@
 auto requestGroupPermit(const shared_flow &flow, const group_choice &choice) -> void
 {
     flow->permitRequestedAt = monotonicNow();
-    auto excluded = flow->excluded;
-    {
+    std::vector<server_id> excluded;
+    // Only the owner can run a keyed request. Its pause has been checked.
+    if (!flow->keyed) {
+        excluded = flow->excluded;
         const std::lock_guard guard(flow->router.directory.lock);
         const auto paused = pausedServers(flow->router.directory.pauses, flow->permitRequestedAt);
         excluded.insert(excluded.end(), paused.begin(), paused.end());
@@ -423,7 +425,7 @@
                                  flow->matchedRoute->name,
                                  flow->matchedRoute->priority,
                                  choice.owner,
-                                 flow->keyed ? std::vector<server_id>{} : excluded,
+                                 std::move(excluded),
                                  flow->matchedRoute->target,
                                  flow->targetEnds,
                                  flow->deadline,
--- a/router/router.h
+++ b/router/router.h
@@ -230,7 +230,7 @@
     lease_id lease = 0;
     // The time to live with which the lease was opened.
     duration leaseLength = 0us;
-    // When the lease was last renewed, and when it is renewed next.
+    // When the last successful renewal was sent.
     instant renewedAt{};
     // The lease is valid at the store at least until then.
     instant leaseValidUntil{};
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -355,7 +355,7 @@
 // A response whose body is received in parts after its beginning.
 struct streamed_response
 {
-    std::shared_ptr<http_client::internals> client;
+    shared_client client;
     endpoint to;
     shared_reader reader;
     // The response without its body.
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -184,21 +184,30 @@
             });
 }
 
-// Runs the handler and waits for its response on the connection's strand.
-auto awaitResponse(const shared_server &server, http_request request)
-        -> asio::awaitable<http_response>
+// Calls start with a callback and waits on the connection's strand until any worker calls it back.
+template<typename value, typename starter>
+auto awaitCallback(starter start) -> asio::awaitable<value>
 {
     const auto executor = co_await asio::this_coro::executor;
-    const auto start = [&](auto completion) {
+    const auto initiate = [&](auto completion) {
         auto shared = std::make_shared<decltype(completion)>(std::move(completion));
-        server->handler(std::move(request), [shared, executor](http_response response) {
-            asio::post(executor, [shared, received = std::move(response)]() mutable {
+        start([shared, executor](value received) {
+            asio::post(executor, [shared, received = std::move(received)]() mutable {
                 (*shared)(std::move(received));
             });
         });
     };
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(http_response)>(
-            start, asio::use_awaitable);
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(value)>(
+            initiate, asio::use_awaitable);
+}
+
+// Runs the handler and waits for its response.
+auto awaitResponse(const shared_server &server, http_request request)
+        -> asio::awaitable<http_response>
+{
+    co_return co_await awaitCallback<http_response>([&](http_responder respond) {
+        server->handler(std::move(request), std::move(respond));
+    });
 }
 
 // The response to a request that could not be read.
@@ -254,20 +263,11 @@
     co_return !error;
 }
 
-// Waits for the next part of a body on the connection's strand.
+// Waits for the next part of a body.
 auto awaitPart(const std::shared_ptr<body_stream> &rest) -> asio::awaitable<body_part>
 {
-    const auto executor = co_await asio::this_coro::executor;
-    const auto start = [&](auto completion) {
-        auto shared = std::make_shared<decltype(completion)>(std::move(completion));
-        rest->read([shared, executor](body_part part) {
-            asio::post(executor, [shared, received = std::move(part)]() mutable {
-                (*shared)(std::move(received));
-            });
-        });
-    };
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(body_part)>(
-            start, asio::use_awaitable);
+    co_return co_await awaitCallback<body_part>(
+            [&](body_part_callback done) { rest->read(std::move(done)); });
 }
 
 // Makes a body that ends with the connection look broken off.
