Log grants to new owners and moves that a new leader finds under way

Change: the first grant that a new owner confirms is logged, orders have the whole range, and ownership_loaded the number of slices that were being moved and the next fence. Renewals that succeed are still only counted, so the volume follows the moves.

Evidence: built; unit tests [ownership] unchanged. No decision changes.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -404,18 +404,23 @@
 }
 
 auto recordOrderResult(ownership_manager &manager, const key_order &order, order_result result,
-                       const std::string &handover, instant now) -> void
+                       const std::string &handover, instant now) -> bool
 {
+    auto firstGrant = false;
     // The slice may have been split since the order was sent.
     for (const auto &slice : manager.table.slices) {
         if (slice.from < order.from || slice.to > order.to)
             continue;
         auto &state = manager.states.at(slice.from);
+        const auto granted = state.granted;
         if (order.kind == order_kind::Grant)
             recordGrantResult(slice, state, manager.limits, order, result, now);
         else
             recordReleaseResult(slice, state, manager.limits, order, result, handover, now);
+        firstGrant =
+                firstGrant || (slice.phase == slice_phase::Pending && state.granted && !granted);
     }
+    return firstGrant;
 }
 
 auto markHeld(ownership_manager &manager) -> bool
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -198,8 +198,9 @@
 auto dueOrders(ownership_manager &manager, const server_directory &directory, renewal_pace pace,
                instant now) -> std::vector<key_order>;
 
+// Returns whether the new owner of a pending slice has confirmed its first grant.
 auto recordOrderResult(ownership_manager &manager, const key_order &order, order_result result,
-                       const std::string &handover, instant now) -> void;
+                       const std::string &handover, instant now) -> bool;
 
 // The table to store next, or nothing when the current table needs no change.
 auto planOwnership(const ownership_manager &manager, const server_directory &directory,
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -44,9 +44,14 @@
                       store_revision leaderRevision) -> void
 {
     const auto service = table.service;
+    const auto pending =
+            std::count_if(table.slices.begin(), table.slices.end(),
+                          [](const auto &slice) { return slice.phase == slice_phase::Pending; });
     logEvent(log_level::Info, "ownership_loaded",
              {{"service", service},
               {"slices", std::to_string(table.slices.size())},
+              {"pending", std::to_string(pending)},
+              {"next_fence", std::to_string(table.nextFence)},
               {"revision", std::to_string(revision)}});
     {
         const std::lock_guard guard(router.leadership.lock);
@@ -207,18 +212,25 @@
                        order_result result, const std::string &handover) -> void
 {
     countKeyOrder(router.metrics, order.kind, result);
-    if (result != order_result::Done || order.kind == order_kind::Release)
-        logEvent(log_level::Info, "key_order",
-                 {{"kind", std::string(nameIn(orderKindNames, order.kind))},
-                  {"service", service},
-                  {"server", order.server.id},
-                  {"from", std::to_string(order.from)},
-                  {"fence", std::to_string(order.fence)},
-                  {"result", std::string(nameIn(orderResultNames, result))}});
-    const std::lock_guard guard(router.leadership.lock);
-    const auto managed = router.leadership.managed.find(service);
-    if (managed != router.leadership.managed.end())
-        recordOrderResult(managed->second.manager, order, result, handover, monotonicNow());
+    auto firstGrant = false;
+    {
+        const std::lock_guard guard(router.leadership.lock);
+        const auto managed = router.leadership.managed.find(service);
+        if (managed != router.leadership.managed.end())
+            firstGrant = recordOrderResult(managed->second.manager, order, result, handover,
+                                           monotonicNow());
+    }
+    // Renewals that succeed are too many to log.
+    if (result == order_result::Done && order.kind == order_kind::Grant && !firstGrant)
+        return;
+    logEvent(log_level::Info, "key_order",
+             {{"kind", std::string(nameIn(orderKindNames, order.kind))},
+              {"service", service},
+              {"server", order.server.id},
+              {"from", std::to_string(order.from)},
+              {"to", std::to_string(order.to)},
+              {"fence", std::to_string(order.fence)},
+              {"result", std::string(nameIn(orderResultNames, result))}});
 }
 
 auto sendOrder(router_process &router, const service_name &service, const key_order &order,
