Compare positions of the store by era and revision

The store numbers its eras in the header Store-Era, which nothing read.

store_position (core/) orders by era, then revision. It replaces bare revisions where two are compared: items and positions of followers, sync messages, the leader's claim and the ownership tables. Expected revisions of writes and the start of a watch stay bare: the store compares them itself. The store client reads the era of every answer, errors too; reports a newer one to an observer; returns Unknown for an answer of an older era, since what it states may be lost; and starts a listing again when its pages are of two eras. Without the header everything has one era, so a store that does not number its eras works as before.

Behaviour within one era stays as it is.

--- a/codec/shared_state_codec.cpp
+++ b/codec/shared_state_codec.cpp
@@ -87,7 +87,8 @@
     wire::OwnershipRecord record;
     record.set_service(table.service);
     record.set_next_fence(table.nextFence);
-    record.set_led_since(table.leaderRevision);
+    record.set_led_since(table.leaderRevision.revision);
+    record.set_led_since_era(table.leaderRevision.era);
     record.set_sequence(table.sequence);
     owner_indexes indexes;
     for (const auto &slice : table.slices)
@@ -99,7 +100,8 @@
 {
     wire::OwnershipChange message;
     message.set_service(change.service);
-    message.set_led_since(change.leaderRevision);
+    message.set_led_since(change.leaderRevision.revision);
+    message.set_led_since_era(change.leaderRevision.era);
     message.set_base(change.base);
     message.set_sequence(change.sequence);
     message.set_next_fence(change.nextFence);
@@ -114,8 +116,9 @@
 
 auto fromWire(const wire::OwnershipChange &message) -> result<ownership_change>
 {
-    ownership_change change{message.service(),  message.led_since(),  message.base(),
-                            message.sequence(), message.next_fence(), {}};
+    ownership_change change{message.service(),    {message.led_since_era(), message.led_since()},
+                            message.base(),       message.sequence(),
+                            message.next_fence(), {}};
     for (const auto &changed : message.slices()) {
         const auto slice = decodeSlice(message, changed.slice(), changed.from());
         if (!slice)
@@ -133,7 +136,7 @@
     ownership_table table;
     table.service = record.service();
     table.nextFence = record.next_fence();
-    table.leaderRevision = record.led_since();
+    table.leaderRevision = {record.led_since_era(), record.led_since()};
     table.sequence = record.sequence();
     key_number from = 0;
     for (const auto &message : record.slices()) {
@@ -161,7 +164,7 @@
     wire::LeaderRecord record;
     if (!record.ParseFromString(value) || record.host_id().empty())
         return failure(error_code::InvalidInput, "the value is not a leader record");
-    return leader_claim{record.host_id(), record.lease(), 0};
+    return leader_claim{record.host_id(), record.lease(), {}};
 }
 
 auto encodeMember(const member_host &host) -> std::string
--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -370,7 +370,7 @@
 }
 
 auto makeOwnershipManager(const ownership_limits &limits, ownership_table table,
-                          std::uint64_t leaderRevision, instant now) -> ownership_manager
+                          store_position leaderRevision, instant now) -> ownership_manager
 {
     // Lets the directory of servers fill before the first table and the first move.
     constexpr duration settleTime = 700ms;
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "core/store_position.h"
 #include "decisions/key_balance.h"
 #include "decisions/server_directory.h"
 
@@ -61,7 +62,7 @@
     service_name service;
     // Tables of a service are ordered by the revision of the leader's key under which they were
     // written, then by their sequence number.
-    std::uint64_t leaderRevision = 0;
+    store_position leaderRevision;
     std::uint64_t sequence = 0;
     fence_number nextFence = 1;
     std::vector<key_slice> slices;
@@ -184,7 +185,7 @@
 // Starts with a table read from the store. Assumes that the previous leader may have sent grants
 // until now.
 auto makeOwnershipManager(const ownership_limits &limits, ownership_table table,
-                          std::uint64_t leaderRevision, instant now) -> ownership_manager;
+                          store_position leaderRevision, instant now) -> ownership_manager;
 
 // How soon grants are renewed: regularly, or early because the leader may have to stop.
 enum class renewal_pace { Steady, BeforeStopping };
--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -147,7 +147,7 @@
 
 auto isOwnClaim(const leader_claim &claim, const host_id &self, std::uint64_t lease) -> bool
 {
-    return claim.revision != 0 && claim.host == self && lease != 0 && claim.lease == lease;
+    return claim.position.revision != 0 && claim.host == self && lease != 0 && claim.lease == lease;
 }
 
 auto isSuspected(const std::map<host_id, host_suspicion> &suspicions, const host_id &host,
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/site.h"
+#include "core/store_position.h"
 
 namespace parsleyloft {
 
@@ -32,7 +33,8 @@
     host_id host;
     // The lease with which the key ends.
     std::uint64_t lease = 0;
-    std::uint64_t revision = 0;
+    // Revision 0 when there is no leader.
+    store_position position;
 };
 
 // True when this host claimed the key under the lease that it holds now. A host that lost its lease
--- a/decisions/ownership_updates.cpp
+++ b/decisions/ownership_updates.cpp
@@ -48,7 +48,7 @@
     return tracked;
 }
 
-auto changeSince(const tracked_ownership &known, std::uint64_t leaderRevision,
+auto changeSince(const tracked_ownership &known, store_position leaderRevision,
                  std::uint64_t sequence) -> std::optional<ownership_change>
 {
     const auto &table = *known.table;
--- a/decisions/ownership_updates.h
+++ b/decisions/ownership_updates.h
@@ -27,7 +27,7 @@
 struct ownership_change
 {
     service_name service;
-    std::uint64_t leaderRevision = 0;
+    store_position leaderRevision;
     std::uint64_t base = 0;
     std::uint64_t sequence = 0;
     fence_number nextFence = 1;
@@ -48,7 +48,7 @@
 
 // The changes since the table with this leader revision and sequence number. Returns nothing when a
 // host with that table needs the complete table.
-auto changeSince(const tracked_ownership &known, std::uint64_t leaderRevision,
+auto changeSince(const tracked_ownership &known, store_position leaderRevision,
                  std::uint64_t sequence) -> std::optional<ownership_change>;
 
 // The table after the change. Fails with InvalidInput when the change doesn't apply to this table.
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -61,7 +61,7 @@
     store_change change;
     change.writes.push_back(
             {std::string(hostsPrefix) + router.self.id, encodeMember(router.self), lease});
-    changeItems(router.store, change, [&router](const result<store_revision> &response) {
+    changeItems(router.store, change, [&router](const result<store_position> &response) {
         countStoreCall(router.metrics, "announce", response.has_value());
         if (!response && response.error().code == error_code::NotFound) {
             handleLeaseLost(router);
@@ -78,7 +78,7 @@
 auto acquireLease(router_process &router, duration length) -> void
 {
     const auto sentAt = monotonicNow();
-    openLease(router.store, length, [&router, sentAt, length](const result<lease_id> &response) {
+    openLease(router.store, length, [&router, sentAt, length](const result<store_lease> &response) {
         countStoreCall(router.metrics, "lease", response.has_value());
         if (!response) {
             recordStoreFailure(router);
@@ -89,13 +89,13 @@
         {
             const std::lock_guard guard(router.leadership.lock);
             auto &own = router.leadership;
-            own.lease = *response;
+            own.lease = response->id;
             own.leaseLength = length;
             own.renewedAt = sentAt;
             own.leaseValidUntil = sentAt + length - leaseMargin;
             own.announced = false;
         }
-        announce(router, *response);
+        announce(router, response->id);
     });
 }
 
@@ -159,7 +159,7 @@
 {
     {
         const std::lock_guard guard(router.members.lock);
-        if (router.members.leader.revision != 0)
+        if (router.members.leader.position.revision != 0)
             return;
         const auto &members = router.members;
         const auto settle = std::min<duration>(
@@ -181,23 +181,24 @@
         if (own.leaving || !own.announced || monotonicNow() >= own.leaseValidUntil)
             return;
         change.expect.push_back({std::string(leaderKey), 0});
-        claim = {router.self.id, own.lease, 0};
+        claim = {router.self.id, own.lease, {}};
         change.writes.push_back({std::string(leaderKey), encodeLeader(claim), own.lease});
     }
     if (!router.directory.confirmed)
         return;
-    changeItems(router.store, change, [&router, claim](const result<store_revision> &response) {
+    changeItems(router.store, change, [&router, claim](const result<store_position> &response) {
         countStoreCall(router.metrics, "claim", response.has_value());
         if (!response)
             return;
         const std::lock_guard guard(router.members.lock);
         router.members.leader = claim;
-        router.members.leader.revision = *response;
-        logEvent(log_level::Info, "leadership_acquired", {{"revision", std::to_string(*response)}});
+        router.members.leader.position = *response;
+        logEvent(log_level::Info, "leadership_acquired",
+                 {{"revision", std::to_string(response->revision)}});
     });
 }
 
-auto leadershipRevision(router_process &router) -> std::optional<store_revision>
+auto leadershipRevision(router_process &router) -> std::optional<store_position>
 {
     leader_claim claim;
     {
@@ -209,7 +210,7 @@
     if (own.leaving || monotonicNow() >= own.leaseValidUntil
         || !isOwnClaim(claim, router.self.id, own.lease))
         return std::nullopt;
-    return claim.revision;
+    return claim.position;
 }
 
 auto isLeading(router_process &router) -> bool
--- a/router/leadership.h
+++ b/router/leadership.h
@@ -18,8 +18,8 @@
 // True while this host leads and its lease cannot have ended at the store.
 auto isLeading(router_process &router) -> bool;
 
-// The revision of the leader's key while this host leads. A leader's writes are conditional on it.
-auto leadershipRevision(router_process &router) -> std::optional<store_revision>;
+// The position of the leader's key while this host leads. A leader's writes are conditional on it.
+auto leadershipRevision(router_process &router) -> std::optional<store_position>;
 
 // Ends the lease, so that other hosts take over at once.
 auto releaseLease(router_process &router) -> void;
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -40,14 +40,14 @@
     return limits;
 }
 
-auto adoptStoredTable(router_process &router, ownership_table table, store_revision revision,
-                      store_revision leaderRevision) -> void
+auto adoptStoredTable(router_process &router, ownership_table table, store_position revision,
+                      store_position leaderRevision) -> void
 {
     const auto service = table.service;
     logEvent(log_level::Info, "ownership_loaded",
              {{"service", service},
               {"slices", std::to_string(table.slices.size())},
-              {"revision", std::to_string(revision)}});
+              {"revision", std::to_string(revision.revision)}});
     {
         const std::lock_guard guard(router.leadership.lock);
         router.leadership.loading.erase(service);
@@ -58,12 +58,12 @@
         managed.revision = revision;
         table = managed.manager.table;
     }
-    if (revision > 0)
+    if (revision.revision > 0)
         adoptOwnership(router, std::move(table), table_source::Leader);
 }
 
 // Reads the current table from the store. A new leader must not plan from an older one.
-auto loadTable(router_process &router, const service_name &service, store_revision leaderRevision)
+auto loadTable(router_process &router, const service_name &service, store_position leaderRevision)
         -> void
 {
     readItem(router.store, ownershipKey(service),
@@ -72,7 +72,7 @@
                  if (response) {
                      auto table = decodeOwnership(response->value);
                      if (table) {
-                         adoptStoredTable(router, std::move(*table), response->revision,
+                         adoptStoredTable(router, std::move(*table), response->position,
                                           leaderRevision);
                          return;
                      }
@@ -81,7 +81,7 @@
                  } else if (response.error().code == error_code::NotFound) {
                      ownership_table empty;
                      empty.service = service;
-                     adoptStoredTable(router, std::move(empty), 0, leaderRevision);
+                     adoptStoredTable(router, std::move(empty), {}, leaderRevision);
                      return;
                  }
                  postAfter(*router.workers, tableReadDelay, [&router, service] {
@@ -113,7 +113,7 @@
 
 // Takes over the table that is now in the store, whether or not this leader wrote it.
 auto handleStoredTable(router_process &router, const ownership_table &stored,
-                       store_revision revision) -> void
+                       store_position revision) -> void
 {
     auto table = stored;
     {
@@ -164,7 +164,7 @@
                  if (response) {
                      const auto table = decodeOwnership(response->value);
                      if (table)
-                         handleStoredTable(router, *table, response->revision);
+                         handleStoredTable(router, *table, response->position);
                      else
                          logEvent(log_level::Error, "ownership_unreadable",
                                   {{"service", service}, {"detail", table.error().detail}});
@@ -177,7 +177,7 @@
 }
 
 auto handleWriteResult(router_process &router, const ownership_table &table,
-                       const result<store_revision> &response) -> void
+                       const result<store_position> &response) -> void
 {
     if (response) {
         handleStoredTable(router, table, *response);
@@ -190,14 +190,14 @@
 }
 
 // Writes the table if this host still leads and the stored table has not changed.
-auto writeTable(router_process &router, const ownership_table &table, store_revision leaderRevision,
-                store_revision tableRevision) -> void
+auto writeTable(router_process &router, const ownership_table &table, store_position leaderRevision,
+                store_position tableRevision) -> void
 {
     store_change change;
-    change.expect.push_back({std::string(leaderKey), leaderRevision});
-    change.expect.push_back({ownershipKey(table.service), tableRevision});
+    change.expect.push_back({std::string(leaderKey), leaderRevision.revision});
+    change.expect.push_back({ownershipKey(table.service), tableRevision.revision});
     change.writes.push_back({ownershipKey(table.service), encodeOwnership(table), 0});
-    changeItems(router.store, change, [&router, table](const result<store_revision> &response) {
+    changeItems(router.store, change, [&router, table](const result<store_position> &response) {
         countStoreCall(router.metrics, "write", response.has_value());
         handleWriteResult(router, table, response);
     });
@@ -244,7 +244,7 @@
     // Set when slices have become held.
     std::optional<ownership_table> held;
     // The revision of the table that the write replaces.
-    store_revision revision = 0;
+    store_position revision;
     duration callTimeout = 0us;
     // True when the table has to be read from the store first.
     bool load = false;
@@ -258,7 +258,7 @@
     return static_cast<std::size_t>(count);
 }
 
-auto planRound(router_process &router, const service_name &service, store_revision leaderRevision)
+auto planRound(router_process &router, const service_name &service, store_position leaderRevision)
         -> ownership_round
 {
     ownership_round round;
--- a/router/router.h
+++ b/router/router.h
@@ -145,7 +145,7 @@
 
 struct compressed_item
 {
-    store_revision revision = 0;
+    store_position position;
     std::string value;
 };
 
@@ -215,8 +215,8 @@
 struct managed_service
 {
     ownership_manager manager;
-    // The table's revision as this leader last read or wrote it.
-    store_revision revision = 0;
+    // The table's position as this leader last read or wrote it.
+    store_position revision;
     // True from the start of a write until its result is known.
     bool writeInFlight = false;
     // Set while the table has slices marked as held that are still pending in the store.
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -27,7 +27,8 @@
     auto decoded = decodeConfiguration(item.value, inForce ? &inForce->configuration : nullptr);
     if (!decoded) {
         logEvent(log_level::Error, "configuration_unreadable",
-                 {{"revision", std::to_string(item.revision)}, {"detail", decoded.error().detail}});
+                 {{"revision", std::to_string(item.position.revision)},
+                  {"detail", decoded.error().detail}});
         countDefect(router.metrics, store_item_kind::Configuration);
         return;
     }
@@ -48,7 +49,8 @@
     }
     setHttpLimits(router.callerServer, limits);
     logEvent(log_level::Info, "configuration_adopted",
-             {{"version", std::to_string(version)}, {"revision", std::to_string(item.revision)}});
+             {{"version", std::to_string(version)},
+              {"revision", std::to_string(item.position.revision)}});
 }
 
 // Called with the directory's lock held, after each change.
@@ -99,7 +101,7 @@
     publishDirectoryVersion(router);
     logEvent(log_level::Info, "server_removed",
              {{"server", id},
-              {"revision", std::to_string(item.revision)},
+              {"revision", std::to_string(item.position.revision)},
               {"kept", changed ? "no" : "yes"}});
 }
 
@@ -127,7 +129,7 @@
               {"domain", record->domain},
               {"draining", record->draining ? "yes" : "no"},
               {"warmup_left_ms", std::to_string(toMilliseconds(record->warmupLeft))},
-              {"revision", std::to_string(item.revision)}});
+              {"revision", std::to_string(item.position.revision)}});
 }
 
 auto removeUnlistedServers(router_process &router, const std::set<std::string> &present) -> void
@@ -161,7 +163,7 @@
         }
     }
     logEvent(log_level::Info, address.empty() ? "host_removed" : "host_updated",
-             {{"peer", id}, {"revision", std::to_string(item.revision)}});
+             {{"peer", id}, {"revision", std::to_string(item.position.revision)}});
     if (!address.empty())
         connectPeer(router.peers, address);
 }
@@ -174,13 +176,13 @@
         if (!decoded)
             logEvent(log_level::Error, "leader_unreadable", {{"detail", decoded.error().detail}});
         claim = decoded.value_or(leader_claim{});
-        claim.revision = item.revision;
+        claim.position = item.position;
     }
     const std::lock_guard guard(router.members.lock);
     router.members.leader = claim;
     router.members.leaderlessSince = monotonicNow();
     logEvent(log_level::Info, "leader_changed",
-             {{"leader", claim.host}, {"revision", std::to_string(item.revision)}});
+             {{"leader", claim.host}, {"revision", std::to_string(item.position.revision)}});
 }
 
 auto applySharedItem(router_process &router, const store_item &item) -> void
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -124,14 +124,14 @@
 auto applyItem(store_follower &self, const store_item &item) -> void
 {
     const auto known = self.items.find(item.key);
-    if (known != self.items.end() && known->second.revision >= item.revision)
+    if (known != self.items.end() && known->second.position >= item.position)
         return;
-    if (known == self.items.end() && item.deleted && item.revision <= self.historyStart)
+    if (known == self.items.end() && item.deleted && item.position <= self.historyStart)
         return;
     self.items[item.key] = item;
     self.recentChanges.push_back(item);
     if (self.recentChanges.size() > maxRecentChanges) {
-        self.historyStart = self.recentChanges.front().revision;
+        self.historyStart = self.recentChanges.front().position;
         self.recentChanges.pop_front();
     }
     self.handlers.onItem(item);
@@ -145,11 +145,11 @@
         applyItem(self, item);
     }
     std::erase_if(self.items, [&](const auto &entry) { return !present.contains(entry.first); });
-    // Deletions that were missed are not among the recent changes, so a host with an older revision
+    // Deletions that were missed are not among the recent changes, so a host with an older position
     // needs full updates.
     self.recentChanges.clear();
-    self.revision = std::max(self.revision, updates.revision);
-    self.historyStart = self.revision;
+    self.position = std::max(self.position, updates.position);
+    self.historyStart = self.position;
     self.listed = true;
     self.handlers.onListed(present);
 }
@@ -178,7 +178,7 @@
         const std::lock_guard guard(self->lock);
         self->failures = 0;
         confirm(*self);
-        applyFullState(*self, {found.items, {}, found.revision, true});
+        applyFullState(*self, {found.items, {}, found.position, true});
     }
     scheduleUpdateFlush(self->router);
     beginWatch(self);
@@ -193,7 +193,7 @@
         confirm(*self);
         for (const auto &item : events.items)
             applyItem(*self, item);
-        self->revision = std::max(self->revision, events.revision);
+        self->position = std::max(self->position, events.position);
     }
     if (!events.items.empty())
         scheduleUpdateFlush(self->router);
@@ -226,7 +226,7 @@
 {
     if (idleIfUpdated(*self))
         return;
-    const auto after = followedRevision(*self);
+    const auto after = followedPosition(*self).revision;
     const auto sinceFailure = monotonicNow() - fromMicroseconds(self->router.storeFailedAt);
     const auto wait = sinceFailure < failureMemory ? watchWaitAfterFailure : watchWait;
     watchItems(self->router.watches, self->prefix, after, wait,
@@ -265,7 +265,7 @@
                   }
                   const std::lock_guard guard(follower->lock);
                   if (!follower->listed)
-                      applyFullState(*follower, {response->items, {}, response->revision, true});
+                      applyFullState(*follower, {response->items, {}, response->position, true});
               });
 }
 
@@ -299,23 +299,23 @@
     return follower.confirmed;
 }
 
-auto followedRevision(store_follower &follower) -> store_revision
+auto followedPosition(store_follower &follower) -> store_position
 {
     const std::lock_guard guard(follower.lock);
-    return follower.revision;
+    return follower.position;
 }
 
-auto updatesSince(store_follower &follower, store_revision revision) -> prefix_updates
+auto updatesSince(store_follower &follower, store_position position) -> prefix_updates
 {
     prefix_updates updates;
     const std::lock_guard guard(follower.lock);
-    updates.revision = follower.revision;
-    if (revision < follower.historyStart) {
+    updates.position = follower.position;
+    if (position < follower.historyStart) {
         updates.full = true;
         for (const auto &[key, item] : follower.items) {
             if (item.deleted)
                 continue;
-            if (item.revision > revision)
+            if (item.position > position)
                 updates.items.push_back(item);
             else
                 updates.unchanged.push_back(key);
@@ -325,7 +325,7 @@
     for (const auto &item : follower.recentChanges) {
         // Only the latest state of each key is sent: a long value may change several times within a
         // second.
-        if (item.revision > revision && follower.items.at(item.key).revision == item.revision)
+        if (item.position > position && follower.items.at(item.key).position == item.position)
             updates.items.push_back(item);
     }
     return updates;
@@ -337,9 +337,10 @@
     const std::lock_guard guard(follower->lock);
     if (updates.full && !hasUnchangedKeys(*follower, updates)) {
         logEvent(log_level::Warn, "store_update_mismatch",
-                 {{"prefix", follower->prefix}, {"at", std::to_string(follower->revision)}});
+                 {{"prefix", follower->prefix},
+                  {"at", std::to_string(follower->position.revision)}});
         // The next sync request asks for all items.
-        follower->revision = 0;
+        follower->position = {};
         return;
     }
     if (updates.full) {
@@ -348,7 +349,7 @@
     }
     for (const auto &item : updates.items)
         applyItem(*follower, item);
-    follower->revision = std::max(follower->revision, updates.revision);
+    follower->position = std::max(follower->position, updates.position);
 }
 
 auto resumeWatching(const std::shared_ptr<store_follower> &follower) -> void
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -29,11 +29,11 @@
     std::mutex lock;
     // All guarded by lock. The latest known state of each key.
     std::map<std::string, store_item> items;
-    // The latest changes. Invariant: no change after the revision historyStart is missing.
+    // The latest changes. Invariant: no change after the position historyStart is missing.
     std::deque<store_item> recentChanges;
-    store_revision historyStart = 0;
-    // The revision up to which the store has been followed.
-    store_revision revision = 0;
+    store_position historyStart;
+    // The position up to which the store has been followed.
+    store_position position;
     // True once all keys have been read.
     bool listed = false;
     // True once they are followed too, by a watch or by another host's updates.
@@ -46,13 +46,13 @@
     void (*resume)(const std::shared_ptr<store_follower> &) = nullptr;
 };
 
-// Changes under one prefix after some revision.
+// Changes under one prefix after some position.
 struct prefix_updates
 {
     std::vector<store_item> items;
-    // In full updates: the keys that exist and have not changed since the receiver's revision.
+    // In full updates: the keys that exist and have not changed since the receiver's position.
     std::vector<std::string> unchanged;
-    store_revision revision = 0;
+    store_position position;
     // True when the items and the unchanged keys are all keys that exist.
     bool full = false;
 };
@@ -76,11 +76,11 @@
 // True once the prefix has been listed and is followed.
 auto isConfirmed(store_follower &follower) -> bool;
 
-// The revision up to which the follower has followed the store.
-auto followedRevision(store_follower &follower) -> store_revision;
+// The position up to which the follower has followed the store.
+auto followedPosition(store_follower &follower) -> store_position;
 
-// The changes after a revision. Full updates when the follower no longer has all of these changes.
-auto updatesSince(store_follower &follower, store_revision revision) -> prefix_updates;
+// The changes after a position. Full updates when the follower no longer has all of these changes.
+auto updatesSince(store_follower &follower, store_position position) -> prefix_updates;
 
 // Applies updates sent by another host.
 auto applyUpdates(const std::shared_ptr<store_follower> &follower, const prefix_updates &updates)
--- a/router/update_sync.cpp
+++ b/router/update_sync.cpp
@@ -86,6 +86,11 @@
     return {};
 }
 
+auto ledSince(const wire::OwnersVersion &version) -> store_position
+{
+    return {version.led_since_era(), version.led_since()};
+}
+
 auto addOwners(router_process &router, const wire::SyncRequest &request, wire::SyncReply &reply)
         -> void
 {
@@ -95,13 +100,13 @@
         for (const auto &[service, known] : router.ownership.services) {
             const auto version = reportedVersion(request, service);
             ownership_table peerTable;
-            peerTable.leaderRevision = version.led_since();
+            peerTable.leaderRevision = ledSince(version);
             peerTable.sequence = version.sequence();
             if (!isLater(*known.table, peerTable))
                 continue;
             const auto change = version.whole()
                     ? std::nullopt
-                    : changeSince(known, version.led_since(), version.sequence());
+                    : changeSince(known, ledSince(version), version.sequence());
             if (change)
                 *reply.add_owner_changes() = toWire(*change);
             else
@@ -118,19 +123,19 @@
     {
         const std::lock_guard guard(router.updateSync.lock);
         const auto known = router.updateSync.compressed.find(item.key);
-        if (known != router.updateSync.compressed.end() && known->second.revision == item.revision)
+        if (known != router.updateSync.compressed.end() && known->second.position == item.position)
             return known->second.value;
     }
     auto value = compressValue(item.value);
     const std::lock_guard guard(router.updateSync.lock);
-    router.updateSync.compressed[item.key] = {item.revision, value};
+    router.updateSync.compressed[item.key] = {item.position, value};
     return value;
 }
 
 auto encodeItem(router_process &router, const store_item &item, wire::FollowedItem &message) -> void
 {
     message.set_key(item.key);
-    message.set_revision(item.revision);
+    message.set_revision(item.position.revision);
     message.set_deleted(item.deleted);
     if (item.value.size() >= compressionThresholdBytes)
         message.set_packed_value(compressedValue(router, item));
@@ -138,9 +143,9 @@
         message.set_value(item.value);
 }
 
-auto decodeItem(const wire::FollowedItem &message) -> result<store_item>
+auto decodeItem(const wire::FollowedItem &message, store_era era) -> result<store_item>
 {
-    store_item item{message.key(), message.value(), message.revision(), message.deleted()};
+    store_item item{message.key(), message.value(), {era, message.revision()}, message.deleted()};
     if (message.packed_value().empty())
         return item;
     auto value = decompressValue(message.packed_value(), maxValueBytes);
@@ -153,12 +158,13 @@
 auto addChanges(router_process &router, store_follower &follower,
                 const wire::PrefixPosition &position, wire::SyncReply &reply) -> void
 {
-    const auto updates = updatesSince(follower, position.at());
+    const auto updates = updatesSince(follower, {position.era(), position.at()});
     if (updates.items.empty() && !updates.full)
         return;
     auto *changes = reply.add_changes();
     changes->set_prefix(follower.prefix);
-    changes->set_at(updates.revision);
+    changes->set_at(updates.position.revision);
+    changes->set_era(updates.position.era);
     changes->set_whole(updates.full);
     for (const auto &item : updates.items)
         encodeItem(router, item, *changes->add_items());
@@ -172,6 +178,7 @@
 {
     wire::SyncReply reply;
     reply.set_current(current);
+    reply.set_era(currentEra(router.store));
     if (!reply.current())
         return reply;
     for (const auto &position : request.positions()) {
@@ -300,11 +307,11 @@
 auto applyPrefixChanges(router_process &router, const wire::PrefixChanges &changes) -> bool
 {
     prefix_updates updates;
-    updates.revision = changes.at();
+    updates.position = {changes.era(), changes.at()};
     updates.full = changes.whole();
     updates.unchanged.assign(changes.unchanged().begin(), changes.unchanged().end());
     for (const auto &message : changes.items()) {
-        auto item = decodeItem(message);
+        auto item = decodeItem(message, changes.era());
         if (!item) {
             logEvent(log_level::Error, "update_unreadable",
                      {{"key", message.key()}, {"detail", item.error().detail}});
@@ -344,16 +351,20 @@
     auto request = takeWorkReport(router);
     request.set_wait_us((newSource ? initialSyncWait : syncWait).count());
     request.set_patient(newSource);
+    request.set_era(currentEra(router.store));
     for (const auto &follower : router.followers) {
         auto *position = request.add_positions();
         position->set_prefix(follower->prefix);
-        position->set_at(followedRevision(*follower));
+        const auto followed = followedPosition(*follower);
+        position->set_at(followed.revision);
+        position->set_era(followed.era);
     }
     const std::lock_guard guard(router.ownership.lock);
     for (const auto &[service, known] : router.ownership.services) {
         auto *version = request.add_owners();
         version->set_service(service);
-        version->set_led_since(known.table->leaderRevision);
+        version->set_led_since(known.table->leaderRevision.revision);
+        version->set_led_since_era(known.table->leaderRevision.era);
         version->set_sequence(known.table->sequence);
         version->set_whole(!known.fromLeader);
     }
--- a/tests/decisions/attempt_rules_test.cpp
+++ b/tests/decisions/attempt_rules_test.cpp
@@ -157,7 +157,7 @@
 
 TEST_CASE("host_with_a_new_lease_does_not_lead_by_a_claim_of_its_previous_lease", "[membership]")
 {
-    const leader_claim claim{"h1", 7, 97};
+    const leader_claim claim{"h1", 7, {0, 97}};
     CHECK(isOwnClaim(claim, "h1", 7));
     CHECK_FALSE(isOwnClaim(claim, "h1", 8));
     CHECK_FALSE(isOwnClaim(claim, "h1", 0));
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -18,7 +18,7 @@
         recordServer(directory, second, now);
         ownership_table empty;
         empty.service = "ledger";
-        manager = makeOwnershipManager(limits, empty, 1, now);
+        manager = makeOwnershipManager(limits, empty, {0, 1}, now);
         now += 1s;
         planAndStore();
         grantAll();
--- a/tests/decisions/large_ownership_test.cpp
+++ b/tests/decisions/large_ownership_test.cpp
@@ -29,7 +29,7 @@
         }
         ownership_table empty;
         empty.service = "ledger";
-        manager = makeOwnershipManager({}, empty, 1, now);
+        manager = makeOwnershipManager({}, empty, {0, 1}, now);
         now += 1s;
         plan();
         grantAll();
--- a/tests/decisions/ownership_updates_test.cpp
+++ b/tests/decisions/ownership_updates_test.cpp
@@ -24,7 +24,7 @@
     {
         ownership_table first;
         first.service = "ledger";
-        first.leaderRevision = 7;
+        first.leaderRevision = {0, 7};
         first.sequence = 1;
         for (key_number from = 0; from <= lastKey; from += 4096)
             first.slices.push_back({from,
@@ -104,7 +104,7 @@
                  "[ownership_updates]")
 {
     auto next = *leader.table;
-    next.leaderRevision = 9;
+    next.leaderRevision = {0, 9};
     next.sequence = 0;
     leader = trackTable(leader, next, table_source::Leader);
     CHECK_FALSE(sync());
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -189,7 +189,7 @@
         const auto text = changes.below(2) == 0
                 ? changes.change(serverEntry)
                 : changes.replaceValue(serverEntry, 2, serverEntry.size());
-        const auto record = decodeServer({"servers/i-7f", text, 5, false});
+        const auto record = decodeServer({"servers/i-7f", text, {0, 5}});
         if (!record)
             return;
         CHECK((record->slots > 0 && record->slots <= 4096));
--- a/tests/platform/site_decoder_test.cpp
+++ b/tests/platform/site_decoder_test.cpp
@@ -12,7 +12,7 @@
 {
     auto decode() const -> result<server_record>
     {
-        return decodeServer({"servers/i-7f", value, 5, false});
+        return decodeServer({"servers/i-7f", value, {0, 5}});
     }
 
     auto replace(const std::string &from, const std::string &to) -> void
--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -51,14 +51,14 @@
                 [&](auto done) { watchItems(client, prefix, after, wait, done); });
     }
 
-    auto change(const store_change &requested) -> result<store_revision>
+    auto change(const store_change &requested) -> result<store_position>
     {
-        return await<store_revision>([&](auto done) { changeItems(client, requested, done); });
+        return await<store_position>([&](auto done) { changeItems(client, requested, done); });
     }
 
-    auto openLeaseFor(duration length) -> result<lease_id>
+    auto openLeaseFor(duration length) -> result<store_lease>
     {
-        return await<lease_id>([&](auto done) { openLease(client, length, done); });
+        return await<store_lease>([&](auto done) { openLease(client, length, done); });
     }
 
     auto keepAlive(lease_id lease) -> result<void>
@@ -82,7 +82,7 @@
     const auto item = read("a/k");
     REQUIRE(item);
     CHECK(item->value == value);
-    CHECK(item->revision == *revision);
+    CHECK(item->position == *revision);
 }
 
 TEST_CASE_METHOD(store_and_client, "change_with_failed_expectation_returns_conflict",
@@ -100,12 +100,12 @@
     const auto items = list("many/");
     REQUIRE(items);
     CHECK(items->items.size() == 1203);
-    CHECK(items->revision > 0);
+    CHECK(items->position.revision > 0);
 }
 
 TEST_CASE_METHOD(store_and_client, "watch_returns_changes_after_a_revision", "[site_store]")
 {
-    const auto revision = list("a/")->revision;
+    const auto revision = list("a/")->position.revision;
     putItem(*store, "a/k", "1");
     putItem(*store, "b/k", "2");
     putItem(*store, "a/k", "");
@@ -114,13 +114,13 @@
     REQUIRE(events->items.size() == 2);
     CHECK(events->items[0].value == "1");
     CHECK(events->items[1].deleted);
-    CHECK(watch("a/", events->revision, 100ms)->items.empty());
+    CHECK(watch("a/", events->position.revision, 100ms)->items.empty());
 }
 
 TEST_CASE_METHOD(store_and_client, "watch_after_lost_history_fails_with_history_lost",
                  "[site_store]")
 {
-    const auto revision = list("a/")->revision;
+    const auto revision = list("a/")->position.revision;
     compactHistory(*store);
     CHECK(watch("a/", revision, 1s).error().code == error_code::HistoryLost);
 }
@@ -151,16 +151,16 @@
 {
     const auto lease = openLeaseFor(10s);
     REQUIRE(lease);
-    REQUIRE(change({{}, {{"a/k", "1", *lease}}, {}}));
-    CHECK(keepAlive(*lease));
-    const auto revision = list("a/")->revision;
+    REQUIRE(change({{}, {{"a/k", "1", lease->id}}, {}}));
+    CHECK(keepAlive(lease->id));
+    const auto revision = list("a/")->position.revision;
     setStoreFaults(*store, {.expireLeases = true});
     const auto events = watch("a/", revision, 5s);
     REQUIRE(events);
     REQUIRE(events->items.size() == 1);
     CHECK(events->items[0].deleted);
-    CHECK(keepAlive(*lease).error().code == error_code::NotFound);
-    CHECK(change({{}, {{"a/k", "1", *lease}}, {}}).error().code == error_code::NotFound);
+    CHECK(keepAlive(lease->id).error().code == error_code::NotFound);
+    CHECK(change({{}, {{"a/k", "1", lease->id}}, {}}).error().code == error_code::NotFound);
 }
 
 TEST_CASE_METHOD(store_and_client,
@@ -212,7 +212,7 @@
         CHECK(page->items[0].value == "a");
         CHECK(page->items[1].value.empty());
         CHECK(page->items[2].value == "c");
-        CHECK(page->revision == 9);
+        CHECK(page->position.revision == 9);
     }
     SECTION("in_a_watch")
     {
@@ -221,7 +221,7 @@
         const auto events = watch("op/", 1, 100ms);
         REQUIRE(events);
         REQUIRE(events->items.size() == 2);
-        CHECK(events->items[0].revision == 0);
+        CHECK(events->items[0].position.revision == 0);
         CHECK(events->items[1].deleted);
     }
     SECTION("in_pages_without_end")
@@ -239,4 +239,109 @@
     client.http = {};
 }
 
+namespace {
+
+// A store whose answers, with their headers, are given by the test.
+struct scripted_store : store_and_client
+{
+    scripted_store()
+    {
+        client.address = raw.address;
+        client.eras->onNewer = [this](store_era previous, store_era era) {
+            seen.emplace_back(previous, era);
+        };
+    }
+
+    ~scripted_store() { client.http = {}; }
+
+    auto answer(const std::string &status, const std::string &headers, const std::string &body)
+            -> void
+    {
+        next = "HTTP/1.1 " + status + "\r\n" + headers
+                + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    auto answerItem(const std::string &headers) -> void
+    {
+        answer("200 OK", headers, R"({"key":"a/k","value":"YQ==","revision":12})");
+    }
+
+    std::string next;
+    raw_server raw{[this](raw_connection &connection) { return sendAll(connection, next); }};
+    std::vector<std::pair<store_era, store_era>> seen;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(scripted_store, "item_has_the_era_of_its_answer", "[site_store]")
+{
+    answerItem("Store-Era: 3\r\n");
+    CHECK(read("a/k")->position == store_position{3, 12});
+    CHECK(currentEra(client) == 3);
+}
+
+TEST_CASE_METHOD(scripted_store, "answer_without_readable_era_is_of_the_newest_one_seen",
+                 "[site_store]")
+{
+    answerItem("");
+    CHECK(read("a/k")->position == store_position{0, 12});
+    recordEra(client, 2);
+    answerItem("");
+    CHECK(read("a/k")->position == store_position{2, 12});
+    answerItem("Store-Era: 9x\r\n");
+    CHECK(read("a/k")->position == store_position{2, 12});
+    answerItem("Store-Era: 99999999999999999999999\r\n");
+    CHECK(read("a/k")->position == store_position{2, 12});
+}
+
+TEST_CASE_METHOD(scripted_store, "newer_era_is_reported_once_also_by_an_error", "[site_store]")
+{
+    answerItem("Store-Era: 1\r\n");
+    CHECK(read("a/k"));
+    answer("410 Gone", "Store-Era: 2\r\n", "");
+    CHECK(watch("a/", 12, 100ms).error().code == error_code::HistoryLost);
+    answerItem("Store-Era: 2\r\n");
+    CHECK(read("a/k"));
+    CHECK(seen == std::vector<std::pair<store_era, store_era>>{{0, 1}, {1, 2}});
+}
+
+// An answer that was sent before the store came back from a copy states what may be lost since.
+TEST_CASE_METHOD(scripted_store, "answer_of_an_older_era_is_not_applied", "[site_store]")
+{
+    recordEra(client, 3);
+    answerItem("Store-Era: 2\r\n");
+    CHECK(read("a/k").error().code == error_code::Unknown);
+    answer("200 OK", "Store-Era: 2\r\n", R"({"revision":13})");
+    CHECK(change({{}, {{"a/k", "1", 0}}, {}}).error().code == error_code::Unknown);
+    answer("404 Not Found", "Store-Era: 2\r\n", "");
+    CHECK(keepAlive(7).error().code == error_code::Unknown);
+    CHECK(currentEra(client) == 3);
+}
+
+// The pages of two eras do not form one state: keys between them may be missing.
+TEST_CASE_METHOD(store_and_client, "listing_across_a_change_of_era_starts_again", "[site_store]")
+{
+    std::vector<std::string> targets;
+    raw_server raw([&](raw_connection &connection) {
+        targets.push_back(connection.request.substr(0, connection.request.find("\r\n")));
+        const auto first = targets.size() == 1;
+        const std::string body = targets.size() == 2
+                ? R"({"items":[{"key":"a/z","value":"","revision":4}],"more":false,"at":9})"
+                : R"({"items":[{"key":"a/k","value":"","revision":3}],"more":)"
+                        + std::string(first ? "true" : "false") + R"(,"at":8})";
+        return sendAll(connection,
+                       "HTTP/1.1 200 OK\r\nStore-Era: " + std::string(first ? "1" : "2")
+                               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                               + body);
+    });
+    client.address = raw.address;
+    const auto found = list("a/");
+    REQUIRE(found);
+    CHECK(targets.size() == 3);
+    REQUIRE(found->items.size() == 1);
+    CHECK(found->items[0].key == "a/k");
+    CHECK(found->position == store_position{2, 8});
+    client.http = {};
+}
+
 } // namespace parsleyloft
--- a/tests/router/store_follower_test.cpp
+++ b/tests/router/store_follower_test.cpp
@@ -16,24 +16,24 @@
         const follower_handlers ignoring{[](const store_item &) {}, [](const auto &) {}};
         source = makeFollower(router, "op/", 1ms, ignoring);
         host = makeFollower(router, "op/", 1ms, handlers);
-        applyUpdates(source, {{{"op/a", "a1", 5, false}, {"op/b", "b1", 6, false}}, {}, 10, true});
+        applyUpdates(source, {{{"op/a", "a1", {0, 5}}, {"op/b", "b1", {0, 6}}}, {}, {0, 10}, true});
     }
 
     auto change(const std::string &key, const std::string &value, store_revision revision,
                 bool deleted = false) -> void
     {
-        applyUpdates(source, {{{key, value, revision, deleted}}, {}, revision, false});
+        applyUpdates(source, {{{key, value, {0, revision}, deleted}}, {}, {0, revision}, false});
     }
 
     // A full read, as after the store has lost its history.
     auto readAll(std::vector<store_item> items, store_revision revision) -> void
     {
-        applyUpdates(source, {std::move(items), {}, revision, true});
+        applyUpdates(source, {std::move(items), {}, {0, revision}, true});
     }
 
     auto sync() -> prefix_updates
     {
-        auto updates = updatesSince(*source, followedRevision(*host));
+        auto updates = updatesSince(*source, followedPosition(*host));
         applyUpdates(host, updates);
         return updates;
     }
@@ -78,7 +78,7 @@
                  "[updates]")
 {
     sync();
-    readAll({{"op/a", "a1", 5, false}, {"op/c", "c1", 30, false}}, 31);
+    readAll({{"op/a", "a1", {0, 5}}, {"op/c", "c1", {0, 30}}}, 31);
     const auto updates = sync();
     CHECK(updates.full);
     CHECK(updates.items.size() == 1);
@@ -93,12 +93,12 @@
 {
     sync();
     host->items.erase("op/a");
-    readAll({{"op/a", "a1", 5, false}, {"op/b", "b1", 6, false}}, 31);
+    readAll({{"op/a", "a1", {0, 5}}, {"op/b", "b1", {0, 6}}}, 31);
     sync();
-    CHECK(followedRevision(*host) == 0);
+    CHECK(followedPosition(*host) == store_position());
     sync();
     CHECK(valueAt("op/a") == "a1");
-    CHECK(followedRevision(*host) == 31);
+    CHECK(followedPosition(*host) == store_position{0, 31});
 }
 
 TEST_CASE_METHOD(two_followers, "deleted_key_is_deleted_at_the_host", "[updates]")
--- a/tests/support/ownership_model.cpp
+++ b/tests/support/ownership_model.cpp
@@ -222,8 +222,8 @@
         return;
     ++world.leader;
     world.leaderEnds = instant::max();
-    world.manager = makeOwnershipManager(world.limits, world.stored,
-                                         static_cast<std::uint64_t>(world.leader), world.now);
+    const store_position claimed{0, static_cast<store_revision>(world.leader)};
+    world.manager = makeOwnershipManager(world.limits, world.stored, claimed, world.now);
 }
 
 auto findServerAt(ownership_world &world, const endpoint &address) -> model_server *
