Let the store's stand-in return from an older copy of itself

copyStore and restoreStore do that. Lease ids are given out again too, as by a copy that holds the counter; the leases of the copy have the time left that they had when it was taken. A watch from a revision that the store does not have gets 410; a waiting one is cut off.

The stand-in for a keyed server records the times during which it held keys, with their fences, so that a test can check that no key had two holders and that fences rise from server to server.

--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -33,10 +33,12 @@
     std::mutex lock;
     // All guarded by lock.
     std::vector<held_range> held;
+    std::vector<key_hold> holds;
     std::vector<served_request> requests;
     std::size_t arrivals = 0;
     std::uint32_t running = 0;
     std::uint32_t peakRunning = 0;
+    std::uint32_t announcements = 0;
     keyed_server_faults faults;
     http_server server;
 };
@@ -73,11 +75,31 @@
     return response;
 }
 
+// Ends the holds of these keys now. Parts of a hold that are outside of the range go on.
+auto endHolds(keyed_server_stand_in::internals &server, std::uint32_t from, std::uint32_t to,
+              instant now) -> void
+{
+    std::vector<key_hold> remaining;
+    for (auto &hold : server.holds) {
+        if (hold.until <= now || hold.to < from || hold.from > to)
+            continue;
+        if (hold.from < from)
+            remaining.push_back({hold.from, from - 1, hold.fence, hold.since, hold.until});
+        if (hold.to > to)
+            remaining.push_back({to + 1, hold.to, hold.fence, hold.since, hold.until});
+        hold.from = std::max(hold.from, from);
+        hold.to = std::min(hold.to, to);
+        hold.until = now;
+    }
+    server.holds.insert(server.holds.end(), remaining.begin(), remaining.end());
+}
+
 auto grant(keyed_server_stand_in::internals &server, const http_request &request) -> http_response
 {
     wire::KeyGrant message;
     if (!readLenientJson(request.body, message))
         return makeResponse(400, request);
+    const auto now = monotonicNow();
     for (const auto &range : server.held) {
         const auto overlaps = range.from <= message.to() && range.to >= message.from();
         if (overlaps && range.fence > message.fence())
@@ -86,8 +108,10 @@
     std::erase_if(server.held, [&](const auto &range) {
         return range.from >= message.from() && range.to <= message.to();
     });
-    server.held.push_back({message.from(), message.to(), message.fence(),
-                           monotonicNow() + std::chrono::milliseconds(message.hold_ms())});
+    const auto until = now + std::chrono::milliseconds(message.hold_ms());
+    server.held.push_back({message.from(), message.to(), message.fence(), until});
+    endHolds(server, message.from(), message.to(), now);
+    server.holds.push_back({message.from(), message.to(), message.fence(), now, until});
     return makeResponse(200, request);
 }
 
@@ -108,6 +132,7 @@
             remaining.push_back({message.to() + 1, range.to, range.fence, range.until});
     }
     server.held = std::move(remaining);
+    endHolds(server, message.from(), message.to(), monotonicNow());
     auto response = makeResponse(200, request);
     response.headers[handoverName] = "handover-of-" + server.options.id;
     return response;
@@ -205,7 +230,7 @@
 {
     auto impl =
             std::shared_ptr<keyed_server_stand_in::internals>(new keyed_server_stand_in::internals{
-                    pool, options, address, {}, {}, {}, 0, 0, 0, {}, {}});
+                    pool, options, address, {}, {}, {}, {}, 0, 0, 0, 0, {}, {}});
     auto server = startHttpServer(pool, address, {maxBodyBytes, 0us},
                                   [weak = std::weak_ptr(impl)](const http_request &request,
                                                                const http_responder &respond) {
@@ -239,7 +264,10 @@
     entry.set_warmup_left_ms(0);
     entry.set_born(options.startTimeMs);
     entry.set_version("v1");
-    entry.set_seq(1);
+    {
+        const std::lock_guard guard(server.impl->lock);
+        entry.set_seq(++server.impl->announcements);
+    }
     putItem(store, "servers/" + options.id, toJson(entry));
 }
 
@@ -259,6 +287,12 @@
     return keys;
 }
 
+auto heldKeys(keyed_server_stand_in &server) -> std::vector<key_hold>
+{
+    const std::lock_guard guard(server.impl->lock);
+    return server.impl->holds;
+}
+
 auto countArrivals(keyed_server_stand_in &server) -> std::size_t
 {
     const std::lock_guard guard(server.impl->lock);
--- a/lab/keyed_server_stand_in.h
+++ b/lab/keyed_server_stand_in.h
@@ -16,6 +16,17 @@
     header_list headers;
 };
 
+// A time during which a server held keys under one fence. Each renewal begins another.
+struct key_hold
+{
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    std::uint32_t fence = 0;
+    instant since{};
+    // The end of the grant, of its renewal or of the keys' release, whichever came first.
+    instant until{};
+};
+
 struct keyed_server_faults
 {
     duration serviceTime = 1ms;
@@ -62,6 +73,9 @@
 // The requests that the server has run.
 auto servedRequests(keyed_server_stand_in &server) -> std::vector<served_request>;
 
+// All holds of keys so far, ended or not.
+auto heldKeys(keyed_server_stand_in &server) -> std::vector<key_hold>;
+
 // The number of keys that the server holds under unexpired grants.
 auto countHeldKeys(keyed_server_stand_in &server) -> std::size_t;
 
--- a/lab/store_stand_in.cpp
+++ b/lab/store_stand_in.cpp
@@ -3,6 +3,7 @@
 
 #include "codec/json.h"
 #include "generated/site.pb.h"
+#include "platform/wire_names.h"
 
 #include <charconv>
 #include <mutex>
@@ -44,8 +45,21 @@
     instant expiresAt{};
 };
 
+// The initial state of a store has no revision 0 and no era 0.
+constexpr std::uint64_t firstRevision = 100;
+constexpr std::uint64_t firstEra = 3;
+
 } // namespace
 
+struct store_copy::contents
+{
+    std::map<std::string, stored_item> items;
+    std::map<std::uint64_t, held_lease> leases;
+    std::uint64_t revision = 0;
+    std::uint64_t nextLease = 0;
+    instant takenAt{};
+};
+
 struct store_stand_in::internals
 {
     std::mutex lock;
@@ -56,9 +70,12 @@
     std::vector<waiting_watch> watches;
     std::map<std::string, std::uint64_t> calls;
     store_faults faults;
-    std::uint64_t revision = 100;
-    // The oldest revision that watches can start from. Older ones get 410.
-    std::uint64_t oldestRevision = 100;
+    // Rises with each return from a copy.
+    std::uint64_t era = firstEra;
+    std::uint64_t revision = firstRevision;
+    // The oldest revision that watches can start from. Older ones get 410, and so do later ones
+    // than the store's.
+    std::uint64_t oldestRevision = firstRevision;
     std::uint64_t nextLease = 1;
     http_server server;
 };
@@ -74,6 +91,14 @@
     http_response response;
 };
 
+// All responses of the store state its era.
+auto answer(const store_stand_in::internals &store, http_responder respond, http_response response)
+        -> due_response
+{
+    response.headers[storeEraName] = std::to_string(store.era);
+    return {std::move(respond), std::move(response)};
+}
+
 auto emptyResponse(unsigned status) -> http_response
 {
     http_response response;
@@ -81,6 +106,14 @@
     return response;
 }
 
+// Closes the connection.
+auto noResponse() -> http_response
+{
+    auto response = emptyResponse(0);
+    response.truncateAfterBytes = 0;
+    return response;
+}
+
 auto jsonResponse(const google::protobuf::Message &message) -> http_response
 {
     http_response response;
@@ -130,12 +163,22 @@
         const auto events = eventsAfter(store, watch.prefix, watch.after);
         if (events.events_size() == 0 && now < watch.until)
             return false;
-        due.push_back({std::move(watch.respond), jsonResponse(events)});
+        due.push_back(answer(store, std::move(watch.respond), jsonResponse(events)));
         return true;
     });
     return due;
 }
 
+// Removes all watches and returns their responses.
+auto endWatches(store_stand_in::internals &store, const http_response &response)
+        -> std::vector<due_response>
+{
+    std::vector<due_response> due;
+    for (auto &watch : std::exchange(store.watches, {}))
+        due.push_back(answer(store, std::move(watch.respond), response));
+    return due;
+}
+
 auto sendAll(std::vector<due_response> due) -> void
 {
     for (auto &entry : due)
@@ -299,8 +342,8 @@
     watch.after = parseNumber(queryParameter(request.target, "after"));
     watch.until = monotonicNow()
             + std::chrono::milliseconds(parseNumber(queryParameter(request.target, "wait_ms")));
-    if (watch.after < store.oldestRevision)
-        return due_response{std::move(respond), emptyResponse(410)};
+    if (watch.after < store.oldestRevision || watch.after > store.revision)
+        return answer(store, std::move(respond), emptyResponse(410));
     watch.respond = std::move(respond);
     store.watches.push_back(std::move(watch));
     return std::nullopt;
@@ -314,17 +357,15 @@
         const std::string path(targetPath(request.target));
         ++store->calls[path];
         if (store->faults.unavailable) {
-            due.push_back({std::move(respond), emptyResponse(503)});
+            due.push_back(answer(*store, std::move(respond), emptyResponse(503)));
         } else if (path == "/kv-watch") {
             if (auto rejected = addWatch(*store, request, std::move(respond)))
                 due.push_back(std::move(*rejected));
         } else {
             auto response = execute(*store, path, request);
-            if (store->faults.dropResponses) {
-                response = emptyResponse(0);
-                response.truncateAfterBytes = 0;
-            }
-            due.push_back({std::move(respond), std::move(response)});
+            if (store->faults.dropResponses)
+                response = noResponse();
+            due.push_back(answer(*store, std::move(respond), std::move(response)));
         }
         auto watches = takeDueWatches(*store, monotonicNow());
         std::move(watches.begin(), watches.end(), std::back_inserter(due));
@@ -359,11 +400,8 @@
     {
         const std::lock_guard guard(store.impl->lock);
         store.impl->faults = faults;
-        if (faults.unavailable) {
-            for (auto &watch : store.impl->watches)
-                due.push_back({std::move(watch.respond), emptyResponse(503)});
-            store.impl->watches.clear();
-        }
+        if (faults.unavailable)
+            due = endWatches(*store.impl, emptyResponse(503));
     }
     sendAll(std::move(due));
 }
@@ -375,9 +413,36 @@
         const std::lock_guard guard(store.impl->lock);
         store.impl->oldestRevision = ++store.impl->revision;
         store.impl->events.clear();
-        for (auto &watch : store.impl->watches)
-            due.push_back({std::move(watch.respond), emptyResponse(410)});
-        store.impl->watches.clear();
+        due = endWatches(*store.impl, emptyResponse(410));
+    }
+    sendAll(std::move(due));
+}
+
+auto copyStore(store_stand_in &store) -> store_copy
+{
+    const std::lock_guard guard(store.impl->lock);
+    const auto &state = *store.impl;
+    return {std::make_shared<const store_copy::contents>(store_copy::contents{
+            state.items, state.leases, state.revision, state.nextLease, monotonicNow()})};
+}
+
+auto restoreStore(store_stand_in &store, const store_copy &copy) -> void
+{
+    std::vector<due_response> due;
+    {
+        const std::lock_guard guard(store.impl->lock);
+        auto &state = *store.impl;
+        due = endWatches(state, noResponse());
+        ++state.era;
+        state.items = copy.impl->items;
+        state.events.clear();
+        state.revision = copy.impl->revision;
+        state.oldestRevision = state.revision;
+        state.nextLease = copy.impl->nextLease;
+        state.leases = copy.impl->leases;
+        const auto age = monotonicNow() - copy.impl->takenAt;
+        for (auto &[id, lease] : state.leases)
+            lease.expiresAt += age;
     }
     sendAll(std::move(due));
 }
--- a/lab/store_stand_in.h
+++ b/lab/store_stand_in.h
@@ -22,6 +22,13 @@
     std::shared_ptr<internals> impl;
 };
 
+// What the store held at some moment.
+struct store_copy
+{
+    struct contents;
+    std::shared_ptr<const contents> impl;
+};
+
 auto startStore(worker_pool &pool, const endpoint &address) -> result<store_stand_in>;
 
 auto setStoreFaults(store_stand_in &store, const store_faults &faults) -> void;
@@ -29,6 +36,13 @@
 // Discards the event history. Waiting watches, and later ones from an older revision, get 410.
 auto compactHistory(store_stand_in &store) -> void;
 
+auto copyStore(store_stand_in &store) -> store_copy;
+
+// Returns the store to a copy, in the next era. Changes since the copy are lost, and their
+// revisions and lease ids are given out again. Leases of the copy have the time left that they had
+// then. The event history is discarded, and waiting watches are cut off.
+auto restoreStore(store_stand_in &store, const store_copy &copy) -> void;
+
 // Writes an item without a lease, as an operator or a server would. An empty value deletes it.
 auto putItem(store_stand_in &store, const std::string &key, const std::string &value) -> void;
 
