Read the store anew when it comes back from an older copy

Cause: revisions go back and are given out again, but followers kept the higher one. Not the configuration decoder, which accepts any higher version, nor the operator, whose write was acknowledged.

A newer era, seen in any answer of the store or in a message of another host, now makes a host - abandon the watches under way and read each prefix again; changes of a newer era alone are never applied, because what was lost leaves no trace in them; - give up its lease, whose id may stand for the lease of another host, and open and announce another one; - consider all update sources again, and wait 0.5 s for updates of the new era before it reads the store itself, so that one host reads and the others receive. A host serves updates only while all it has is of the newest era. A request or reply states the era, so a host that has not seen the newest one reads the store before it answers.

--- /dev/null
+++ b/router/era_change.cpp
@@ -0,0 +1,38 @@
+// What a host does when the store has come back from an older copy of itself.
+#include "router/era_change.h"
+
+#include "router/leadership.h"
+#include "router/store_follower.h"
+#include "router/update_source.h"
+#include "telemetry/event_log.h"
+
+namespace parsleyloft {
+
+namespace {
+
+// A host with an update source reads the store itself only if that source has not sent updates of
+// the new era until then, so that the reads of all hosts do not reach the store at once.
+constexpr duration sourceReadTime = 500ms;
+
+auto handleNewerEra(router_process &router, store_era previous, store_era era) -> void
+{
+    // The first answer that states an era.
+    if (previous == 0)
+        return;
+    logEvent(log_level::Warn, "store_era_changed",
+             {{"era", std::to_string(era)}, {"previous", std::to_string(previous)}});
+    abandonLease(router, era);
+    const auto hasSource = clearSourceSuspicions(router);
+    restartFollowers(router, hasSource ? sourceReadTime : 0us);
+}
+
+} // namespace
+
+auto watchForNewEras(router_process &router) -> void
+{
+    router.store.eras->onNewer = [&router](store_era previous, store_era era) {
+        handleNewerEra(router, previous, era);
+    };
+}
+
+} // namespace parsleyloft
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -37,39 +37,60 @@
     router.leadership.callInFlight = false;
 }
 
-auto recordRenewal(router_process &router, instant sentAt) -> void
+// Called with the leadership's lock held.
+auto heldLease(const lease_state &own) -> store_lease
+{
+    return {own.lease, own.leaseEra};
+}
+
+// Called with the leadership's lock held.
+auto dropLease(lease_state &own) -> void
+{
+    own.lease = 0;
+    own.leaseValidUntil = {};
+    own.announced = false;
+}
+
+// Returns false if the lease was abandoned meanwhile.
+auto recordRenewal(router_process &router, const store_lease &lease, instant sentAt) -> bool
 {
     const std::lock_guard guard(router.leadership.lock);
     auto &own = router.leadership;
+    own.callInFlight = false;
+    if (heldLease(own) != lease)
+        return false;
     own.renewedAt = sentAt;
     own.leaseValidUntil = sentAt + own.leaseLength - leaseMargin;
-    own.callInFlight = false;
+    return true;
 }
 
-auto handleLeaseLost(router_process &router) -> void
+auto handleLeaseLost(router_process &router, const store_lease &lease) -> void
 {
     const std::lock_guard guard(router.leadership.lock);
-    router.leadership.lease = 0;
-    router.leadership.leaseValidUntil = {};
-    router.leadership.announced = false;
-    router.leadership.callInFlight = false;
+    auto &own = router.leadership;
+    own.callInFlight = false;
+    if (heldLease(own) != lease)
+        return;
+    dropLease(own);
     logEvent(log_level::Warn, "lease_lost", {});
 }
 
-auto announce(router_process &router, lease_id lease) -> void
+auto announce(router_process &router, const store_lease &lease) -> void
 {
     store_change change;
     change.writes.push_back(
-            {std::string(hostsPrefix) + router.self.id, encodeMember(router.self), lease});
-    changeItems(router.store, change, [&router](const result<store_position> &response) {
+            {std::string(hostsPrefix) + router.self.id, encodeMember(router.self), lease.id});
+    changeItems(router.store, change, [&router, lease](const result<store_position> &response) {
         countStoreCall(router.metrics, "announce", response.has_value());
         if (!response && response.error().code == error_code::NotFound) {
-            handleLeaseLost(router);
+            handleLeaseLost(router, lease);
             return;
         }
         const std::lock_guard guard(router.leadership.lock);
-        router.leadership.announced = response.has_value();
-        router.leadership.callInFlight = false;
+        auto &own = router.leadership;
+        own.callInFlight = false;
+        if (heldLease(own) == lease)
+            own.announced = response.has_value();
     });
 }
 
@@ -89,26 +110,32 @@
         {
             const std::lock_guard guard(router.leadership.lock);
             auto &own = router.leadership;
+            if (response->era != currentEra(router.store)) {
+                own.callInFlight = false;
+                return;
+            }
             own.lease = response->id;
+            own.leaseEra = response->era;
             own.leaseLength = length;
             own.renewedAt = sentAt;
             own.leaseValidUntil = sentAt + length - leaseMargin;
             own.announced = false;
         }
-        announce(router, response->id);
+        announce(router, *response);
     });
 }
 
-auto keepAlive(router_process &router, lease_id lease) -> void
+auto keepAlive(router_process &router, const store_lease &lease) -> void
 {
     const auto sentAt = monotonicNow();
-    keepLeaseAlive(router.store, lease, [&router, sentAt](const result<void> &response) {
+    keepLeaseAlive(router.store, lease.id, [&router, lease, sentAt](const result<void> &response) {
         countStoreCall(router.metrics, "keep", response.has_value());
         if (response) {
             recordStoreAnswer(router);
-            recordRenewal(router, sentAt);
+            if (!recordRenewal(router, lease, sentAt))
+                renewLease(router);
         } else if (response.error().code == error_code::NotFound)
-            handleLeaseLost(router);
+            handleLeaseLost(router, lease);
         else {
             recordStoreFailure(router);
             clearCallInFlight(router);
@@ -129,7 +156,7 @@
 auto renewLease(router_process &router) -> void
 {
     const auto terms = wantedTerms(router);
-    lease_id lease = 0;
+    store_lease lease;
     auto announced = false;
     {
         const std::lock_guard guard(router.leadership.lock);
@@ -139,15 +166,15 @@
         // A lease that is longer than needed is kept otherwise.
         if (own.lease != 0 && own.leaseLength > terms.length)
             own.lease = 0;
-        lease = own.lease;
+        lease = heldLease(own);
         announced = own.announced;
         // Renewals come with the rounds, so one that is due before the next round is due now.
         const auto sinceRenewal = monotonicNow() - own.renewedAt;
-        if (lease != 0 && announced && sinceRenewal + renewalRound / 2 < terms.renewAfter)
+        if (lease.id != 0 && announced && sinceRenewal + renewalRound / 2 < terms.renewAfter)
             return;
         own.callInFlight = true;
     }
-    if (lease == 0)
+    if (lease.id == 0)
         acquireLease(router, terms.length);
     else if (!announced)
         announce(router, lease);
@@ -155,6 +182,22 @@
         keepAlive(router, lease);
 }
 
+auto abandonLease(router_process &router, store_era era) -> void
+{
+    const auto mayLead = holdsCandidateLease(router);
+    {
+        const std::lock_guard guard(router.leadership.lock);
+        auto &own = router.leadership;
+        if (own.lease == 0 || own.leaseEra >= era)
+            return;
+        dropLease(own);
+    }
+    logEvent(log_level::Warn, "lease_abandoned", {{"era", std::to_string(era)}});
+    // The other hosts wait for their next round, so that their calls are spread.
+    if (mayLead)
+        post(*router.workers, [&router] { renewLease(router); });
+}
+
 auto claimLeadership(router_process &router) -> void
 {
     {
--- a/router/leadership.h
+++ b/router/leadership.h
@@ -12,6 +12,10 @@
 // Acquires the lease, renews it when that is due, and announces this host under it.
 auto renewLease(router_process &router) -> void;
 
+// Gives up a lease of an older era and opens another one at once if this host may have to lead. The
+// old one is not ended: its id may stand for the lease of another host.
+auto abandonLease(router_process &router, store_era era) -> void;
+
 // Writes the leader's key if it is free and it is this host's turn to claim it.
 auto claimLeadership(router_process &router) -> void;
 
--- a/router/router.h
+++ b/router/router.h
@@ -4,7 +4,8 @@
 // Lock order: a follower, settings, routes, directory, ownership, members, groups, one group,
 // repeats, work, leadership, updateSync, one request. A worker may skip tables, but locks those it
 // needs in this order. Locks are held only around calls into decisions/, never around input or
-// output.
+// output. The newest era of the store is read and raised without a lock, also while locks are held;
+// the reaction to a newer one takes the locks in this order and is started without any.
 #pragma once
 
 #include "decisions/membership.h"
@@ -228,6 +229,9 @@
     std::mutex lock;
     // All guarded by lock. 0 while this host has no lease.
     lease_id lease = 0;
+    // The era of the store in which the lease was opened. In a later one its id may stand for a
+    // lease of another host.
+    store_era leaseEra = 0;
     // The time to live with which the lease was opened.
     duration leaseLength = 0us;
     // When the last successful renewal was sent.
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -3,6 +3,7 @@
 
 #include "codec/json.h"
 #include "router/dump.h"
+#include "router/era_change.h"
 #include "router/leadership.h"
 #include "router/ownership_manager.h"
 #include "router/permits.h"
@@ -204,6 +205,7 @@
     router->workers = startWorkers(settings.worker_threads());
     makeClients(*router, settings);
     prepareSync(*router);
+    watchForNewEras(*router);
     const auto listening = listen(*router, settings);
     if (!listening)
         return tl::unexpected(listening.error());
--- a/router/store_follower.cpp
+++ b/router/store_follower.cpp
@@ -139,6 +139,8 @@
 
 auto applyFullState(store_follower &self, const prefix_updates &updates) -> void
 {
+    if (updates.position.era < self.position.era)
+        return;
     std::set<std::string> present(updates.unchanged.begin(), updates.unchanged.end());
     for (const auto &item : updates.items) {
         present.insert(item.key);
@@ -190,6 +192,12 @@
     {
         const std::lock_guard guard(self->lock);
         self->failures = 0;
+        // Changes before the events are missing when they are of a newer era. The next watch then
+        // becomes a full read.
+        if (events.position.era != self->position.era) {
+            post(*self->router.workers, [self] { beginWatch(self); });
+            return;
+        }
         confirm(*self);
         for (const auto &item : events.items)
             applyItem(*self, item);
@@ -222,16 +230,50 @@
     return self.idle;
 }
 
+struct begun_watch
+{
+    std::uint64_t number = 0;
+    store_revision after = 0;
+};
+
+// Returns nothing when the store has to be read anew, because the revisions of an older era do not
+// tell what has changed.
+auto startWatch(store_follower &self) -> std::optional<begun_watch>
+{
+    const std::lock_guard guard(self.lock);
+    if (self.position.era != currentEra(self.router.store))
+        return std::nullopt;
+    self.watch = ++self.lastWatch;
+    return begun_watch{self.watch, self.position.revision};
+}
+
+// Returns false if the watch was abandoned.
+auto endWatch(store_follower &self, std::uint64_t number) -> bool
+{
+    const std::lock_guard guard(self.lock);
+    if (self.watch != number)
+        return false;
+    self.watch = 0;
+    return true;
+}
+
 auto beginWatch(const shared_follower &self) -> void
 {
     if (idleIfUpdated(*self))
         return;
-    const auto after = followedPosition(*self).revision;
+    const auto begun = startWatch(*self);
+    if (!begun) {
+        beginListing(self);
+        return;
+    }
+    const auto [number, after] = *begun;
     const auto sinceFailure = monotonicNow() - fromMicroseconds(self->router.storeFailedAt);
     const auto wait = sinceFailure < failureMemory ? watchWaitAfterFailure : watchWait;
     watchItems(self->router.watches, self->prefix, after, wait,
-               [self, after](const result<store_items> &response) {
+               [self, number = number, after = after](const result<store_items> &response) {
                    countStoreCall(self->router.metrics, "watch", response.has_value());
+                   if (!endWatch(*self, number))
+                       return;
                    if (response) {
                        handleEvents(self, *response);
                    } else if (response.error().code == error_code::HistoryLost) {
@@ -290,13 +332,19 @@
 auto isCurrent(store_follower &follower) -> bool
 {
     const std::lock_guard guard(follower.lock);
-    return follower.confirmed && follower.failures == 0 && !follower.idle;
+    return follower.confirmed && follower.failures == 0 && !follower.idle
+            && follower.position.era == currentEra(follower.router.store);
 }
 
 auto isConfirmed(store_follower &follower) -> bool
 {
     const std::lock_guard guard(follower.lock);
-    return follower.confirmed;
+    return follower.confirmed && follower.position.era == currentEra(follower.router.store);
+}
+
+auto isOfOlderEra(store_follower &follower) -> bool
+{
+    return followedPosition(follower).era < currentEra(follower.router.store);
 }
 
 auto followedPosition(store_follower &follower) -> store_position
@@ -347,6 +395,12 @@
         applyFullState(*follower, updates);
         return;
     }
+    if (updates.position.era != follower->position.era) {
+        // The next sync request asks for all items.
+        if (updates.position.era > follower->position.era)
+            follower->position = {};
+        return;
+    }
     for (const auto &item : updates.items)
         applyItem(*follower, item);
     follower->position = std::max(follower->position, updates.position);
@@ -369,6 +423,23 @@
         beginListing(follower);
 }
 
+auto restartFollowers(router_process &router, duration delay) -> void
+{
+    for (const auto &follower : router.followers) {
+        {
+            const std::lock_guard guard(follower->lock);
+            const auto watching = std::exchange(follower->watch, 0) != 0;
+            const auto waiting = std::exchange(follower->resume, nullptr) != nullptr;
+            if (!watching && !waiting)
+                continue;
+        }
+        postAfter(*router.workers, delay, [follower] {
+            if (!follower->router.stopping)
+                beginWatch(follower);
+        });
+    }
+}
+
 auto recordStoreFailure(router_process &router) -> void
 {
     router.storeFailedAt = toMicroseconds(monotonicNow());
--- a/router/store_follower.h
+++ b/router/store_follower.h
@@ -1,6 +1,7 @@
 // Follows all keys of the platform's store under one prefix: a full read, then watches, and another
 // full read when the store no longer has the history that a watch needs. Instead of watching, a
-// follower can also apply updates sent by another host.
+// follower can also apply updates sent by another host. When the store comes back from an older
+// copy, everything is read anew: what the copy lacks leaves no trace in its history.
 #pragma once
 
 #include "router/router.h"
@@ -31,15 +32,18 @@
     std::map<std::string, store_item> items;
     // The latest changes. Invariant: no change after the position historyStart is missing.
     std::deque<store_item> recentChanges;
-    store_position historyStart;
+    store_position historyStart{};
     // The position up to which the store has been followed.
-    store_position position;
+    store_position position{};
     // True once all keys have been read.
     bool listed = false;
     // True once they are followed too, by a watch or by another host's updates.
     bool confirmed = false;
     // True while neither a watch nor a full read is under way.
     bool idle = true;
+    // The number of the watch under way, or 0. The answer to an abandoned watch is ignored.
+    std::uint64_t watch = 0;
+    std::uint64_t lastWatch = 0;
     // Consecutive failed calls.
     std::uint32_t failures = 0;
     // The call to repeat once the store answers again, or null.
@@ -70,25 +74,32 @@
 // Starts with a full read. The handlers are called by workers, one at a time.
 auto beginFollowing(const std::shared_ptr<store_follower> &follower) -> void;
 
-// True while the follower has read the prefix and watches it without failures.
+// True while the follower has read the prefix in the newest era and watches it without failures.
 auto isCurrent(store_follower &follower) -> bool;
 
-// True once the prefix has been listed and is followed.
+// True once the prefix has been listed in the newest era and is followed.
 auto isConfirmed(store_follower &follower) -> bool;
 
+// True when what the follower knows is of an older era than the newest one.
+auto isOfOlderEra(store_follower &follower) -> bool;
+
 // The position up to which the follower has followed the store.
 auto followedPosition(store_follower &follower) -> store_position;
 
 // The changes after a position. Full updates when the follower no longer has all of these changes.
 auto updatesSince(store_follower &follower, store_position position) -> prefix_updates;
 
-// Applies updates sent by another host.
+// Applies updates sent by another host. Ignored if they are of an older era.
 auto applyUpdates(const std::shared_ptr<store_follower> &follower, const prefix_updates &updates)
         -> void;
 
 // Makes an idle follower watch the store itself.
 auto resumeWatching(const std::shared_ptr<store_follower> &follower) -> void;
 
+// Abandons watches under way and reads anew after the delay, unless another host has sent updates
+// of the newest era until then.
+auto restartFollowers(router_process &router, duration delay) -> void;
+
 // Records that a call on the store failed, or that another host may have lost the store.
 auto recordStoreFailure(router_process &router) -> void;
 
--- a/router/update_source.cpp
+++ b/router/update_source.cpp
@@ -51,6 +51,15 @@
     router.updateSync.connectFailures = 0;
 }
 
+auto clearSourceSuspicions(router_process &router) -> bool
+{
+    {
+        const std::lock_guard guard(router.updateSync.lock);
+        router.updateSync.suspicions.clear();
+    }
+    return chooseUpdateSource(router).has_value();
+}
+
 auto isConnecting(router_process &router, const result<wire::SyncReply> &reply) -> bool
 {
     if (reply || reply.error().code != error_code::Unreachable)
--- a/router/update_source.h
+++ b/router/update_source.h
@@ -21,6 +21,9 @@
 // Records that the host could not serve updates. It is not called for a while.
 auto suspectSource(router_process &router, const host_id &id, const std::string &reason) -> void;
 
+// Makes all hosts eligible as update source again. Returns whether there is one.
+auto clearSourceSuspicions(router_process &router) -> bool;
+
 // True when the call failed because the connection to the source is still being opened, and should
 // be repeated. Gives up after a few calls in a row.
 auto isConnecting(router_process &router, const result<wire::SyncReply> &reply) -> bool;
--- a/router/update_sync.cpp
+++ b/router/update_sync.cpp
@@ -192,11 +192,12 @@
 }
 
 // True when a request waits while this host is not current, because it may become so during the
-// call. That holds for patient requests, and for all at a relay: a relay that loses its source soon
-// has another one, and its hosts should not all turn to the leader and the standby meanwhile.
+// call. That holds for patient requests; for all at a relay: a relay that loses its source soon
+// has another one, and its hosts should not all turn to the leader and the standby meanwhile; and
+// for those of hosts that have not seen the newest era: this host is reading the store anew then.
 auto waitsForCurrent(const router_process &router, const wire::SyncRequest &request) -> bool
 {
-    return request.patient() || router.usesUpdateSource;
+    return request.patient() || router.usesUpdateSource || request.era() < currentEra(router.store);
 }
 
 // True when the reply should be sent at once.
@@ -350,7 +351,9 @@
 {
     auto request = takeWorkReport(router);
     request.set_wait_us((newSource ? initialSyncWait : syncWait).count());
-    request.set_patient(newSource);
+    const auto reads = std::any_of(router.followers.begin(), router.followers.end(),
+                                   [](const auto &follower) { return isOfOlderEra(*follower); });
+    request.set_patient(newSource || reads);
     request.set_era(currentEra(router.store));
     for (const auto &follower : router.followers) {
         auto *position = request.add_positions();
@@ -406,6 +409,14 @@
 auto handleSyncReply(router_process &router, const update_source &source,
                      const result<wire::SyncReply> &reply) -> void
 {
+    if (reply) {
+        recordEra(router.store, reply->era());
+        if (reply->current() && reply->era() < currentEra(router.store)) {
+            // The source gets the newer era with the next request and reads the store anew.
+            scheduleSync(router, sourceCheckInterval);
+            return;
+        }
+    }
     if (reply && reply->current() && applyReply(router, *reply)) {
         confirmSource(router, source.id);
         confirmFollowers(router);
@@ -470,6 +481,7 @@
 auto answerSync(router_process &router, wire::SyncRequest request,
                 peer_responder<wire::SyncReply> respond) -> void
 {
+    recordEra(router.store, request.era());
     if (router.usesUpdateSource)
         relayWorkReport(router, request);
     else
--- a/tests/router/store_follower_test.cpp
+++ b/tests/router/store_follower_test.cpp
@@ -1,6 +1,8 @@
 // Store updates sent from the follower of one host to the follower of another.
 #include "router/store_follower.h"
 
+#include "support/raw_server.h"
+
 #include <catch2/catch.hpp>
 
 namespace parsleyloft {
@@ -109,4 +111,159 @@
     CHECK(valueAt("op/b").empty());
 }
 
+// A store that comes back from an older copy gives out revisions again. Hosts that compared them
+// alone kept what they had, for instance a configuration that was replaced since.
+TEST_CASE_METHOD(two_followers, "item_of_a_newer_era_replaces_one_of_a_higher_revision",
+                 "[updates]")
+{
+    sync();
+    applyUpdates(source, {{{"op/a", "a0", {1, 4}}}, {}, {1, 4}, true});
+    const auto updates = sync();
+    CHECK(updates.full);
+    CHECK(valueAt("op/a") == "a0");
+    CHECK(listed == std::set<std::string>{"op/a"});
+    CHECK(followedPosition(*host) == store_position{1, 4});
+    applyUpdates(source, {{{"op/a", "a2", {1, 5}}}, {}, {1, 5}, false});
+    CHECK_FALSE(sync().full);
+    CHECK(valueAt("op/a") == "a2");
+}
+
+TEST_CASE_METHOD(two_followers, "items_of_a_newer_era_are_sent_even_with_the_same_revision",
+                 "[updates]")
+{
+    sync();
+    applyUpdates(source, {{{"op/a", "a2", {1, 5}}, {"op/b", "b1", {1, 6}}}, {}, {1, 10}, true});
+    const auto updates = sync();
+    CHECK(updates.items.size() == 2);
+    CHECK(updates.unchanged.empty());
+    CHECK(valueAt("op/a") == "a2");
+}
+
+TEST_CASE_METHOD(two_followers, "second_return_shortly_after_the_first_is_followed_too",
+                 "[updates]")
+{
+    sync();
+    applyUpdates(source, {{{"op/a", "a0", {1, 4}}}, {}, {1, 8}, true});
+    applyUpdates(source, {{{"op/a", "a-1", {2, 2}}}, {}, {2, 3}, true});
+    sync();
+    CHECK(valueAt("op/a") == "a-1");
+    CHECK(followedPosition(*host) == store_position{2, 3});
+}
+
+// Changes before the ones received may be missing, so they do not lead from one era to the next.
+TEST_CASE_METHOD(two_followers, "changes_of_a_newer_era_alone_are_not_applied", "[updates]")
+{
+    sync();
+    applyUpdates(host, {{{"op/a", "a2", {1, 12}}}, {}, {1, 12}, false});
+    CHECK(valueAt("op/a") == "a1");
+    CHECK(followedPosition(*host) == store_position());
+    CHECK(sync().full);
+}
+
+TEST_CASE_METHOD(two_followers, "late_updates_of_an_older_era_are_ignored", "[updates]")
+{
+    applyUpdates(host, {{{"op/a", "a2", {1, 4}}}, {}, {1, 4}, true});
+    SECTION("when_they_are_changes")
+    {
+        applyUpdates(host, {{{"op/a", "a1", {0, 50}}}, {}, {0, 50}, false});
+    }
+    SECTION("when_they_are_full")
+    {
+        applyUpdates(host, {{{"op/a", "a1", {0, 50}}}, {}, {0, 50}, true});
+    }
+    CHECK(valueAt("op/a") == "a2");
+    CHECK(followedPosition(*host) == store_position{1, 4});
+}
+
+namespace {
+
+// A follower of a store that answers listings at once and watches only when the test ends.
+struct follower_of_a_store
+{
+    follower_of_a_store()
+    {
+        router.metrics = makeCounters();
+        router.workers = startWorkers(2);
+        router.store.http = makeHttpClient(*router.workers, 4);
+        router.store.address = raw.address;
+        router.watches = router.store;
+        follower = makeFollower(router, "op/", 1ms, {[](const auto &) {}, [](const auto &) {}});
+        router.followers = {follower};
+        router.usesUpdateSource = false;
+    }
+
+    ~follower_of_a_store()
+    {
+        router.stopping = true;
+        ended = true;
+        stopWorkers(*router.workers);
+        router.store.http = {};
+        router.watches.http = {};
+    }
+
+    auto answer(raw_connection &connection) -> bool
+    {
+        const auto isWatch = connection.request.find("/kv-watch") != std::string::npos;
+        ++(isWatch ? watches : listings);
+        while (isWatch && !ended)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        const std::string body = R"({"items":[],"more":false,"at":9})";
+        return sendAll(connection,
+                       "HTTP/1.1 200 OK\r\nStore-Era: " + std::to_string(era)
+                               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                               + body);
+    }
+
+    auto awaitWatches(int count) -> void
+    {
+        const auto end = monotonicNow() + 10s;
+        while (watches < count && monotonicNow() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        REQUIRE(watches == count);
+    }
+
+    std::atomic<store_era> era = 1;
+    std::atomic<int> listings = 0;
+    std::atomic<int> watches = 0;
+    std::atomic<bool> ended = false;
+    raw_server raw{[this](raw_connection &connection) { return answer(connection); }};
+    router_process router;
+    std::shared_ptr<store_follower> follower;
+};
+
+} // namespace
+
+// Without an answer such a watch would hide the new state until it times out.
+TEST_CASE_METHOD(follower_of_a_store, "watch_of_an_older_era_is_abandoned_for_a_listing",
+                 "[updates]")
+{
+    beginFollowing(follower);
+    awaitWatches(1);
+    CHECK(isCurrent(*follower));
+    era = 2;
+    recordEra(router.store, 2);
+    CHECK_FALSE(isCurrent(*follower));
+    CHECK_FALSE(isConfirmed(*follower));
+    restartFollowers(router, 0us);
+    awaitWatches(2);
+    CHECK(listings == 2);
+    CHECK(isCurrent(*follower));
+    CHECK(followedPosition(*follower) == store_position{2, 9});
+}
+
+TEST_CASE_METHOD(follower_of_a_store, "restarted_follower_leaves_the_listing_to_an_update_source",
+                 "[updates]")
+{
+    beginFollowing(follower);
+    awaitWatches(1);
+    recordEra(router.store, 2);
+    restartFollowers(router, 50ms);
+    router.usesUpdateSource = true;
+    applyUpdates(follower, {{}, {}, {2, 9}, true});
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    CHECK(listings == 1);
+    CHECK(watches == 1);
+    CHECK(isConfirmed(*follower));
+}
+
 } // namespace parsleyloft
