Ignore older announcements of a server

The directory now compares the sequence number of the announcements. So an entry of the same incarnation with a lower number is older; one of a removed incarnation with no higher number is from before its removal, and is used only if the store still lists it 10 s later, when the entry of a silent server would be gone. A lapsed server that returns has a higher number. A repeated entry no longer prolongs the cold time.

The ownership model and one directory test announced a returning server with the number it had before; they count it up now, as servers do, and check what they checked.

--- a/core/site.h
+++ b/core/site.h
@@ -108,6 +108,8 @@
     // The start time of this incarnation in Unix milliseconds. A later incarnation with the same id
     // has a higher one.
     std::int64_t startTimeMs = 0;
+    // Rises with each announcement of an incarnation.
+    std::uint64_t sequence = 0;
 
     auto operator==(const server_record &) const -> bool = default;
 };
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -5,6 +5,89 @@
 
 namespace parsleyloft {
 
+namespace {
+
+// An announcement with the same content has a sequence number of its own.
+auto hasSameContent(const server_record &left, server_record right) -> bool
+{
+    right.sequence = left.sequence;
+    return left == right;
+}
+
+auto isRemoved(const server_directory &directory, const server_record &record) -> bool
+{
+    const auto removed = directory.removed.find(record.id);
+    return removed != directory.removed.end() && removed->second.startTimeMs == record.startTimeMs
+            && removed->second.sequence >= record.sequence;
+}
+
+auto isReplaced(const server_directory &directory, const server_record &record) -> bool
+{
+    const auto known = directory.entries.find(record.id);
+    return known != directory.entries.end()
+            && known->second.record.startTimeMs == record.startTimeMs
+            && known->second.record.sequence > record.sequence;
+}
+
+// Its remaining cold time counts from the first receipt.
+auto isRepeated(const server_directory &directory, const server_record &record) -> bool
+{
+    const auto known = directory.entries.find(record.id);
+    return known != directory.entries.end() && known->second.record == record;
+}
+
+auto setEntry(server_directory &directory, const directory_entry &next) -> bool
+{
+    auto &entry = directory.entries[next.record.id];
+    const auto changed = entry.missingSince || !hasSameContent(entry.record, next.record);
+    entry = next;
+    if (changed)
+        ++directory.version;
+    return changed;
+}
+
+// The store lists the server, but with no later announcement than the one known.
+auto clearMissing(server_directory &directory, const server_id &id) -> bool
+{
+    auto &entry = directory.entries.at(id);
+    if (!entry.missingSince)
+        return false;
+    entry.missingSince.reset();
+    ++directory.version;
+    return true;
+}
+
+auto eraseEntry(server_directory &directory, const server_id &id) -> void
+{
+    const auto &record = directory.entries.at(id).record;
+    directory.removed[id] = {record.startTimeMs, record.sequence};
+    directory.entries.erase(id);
+    ++directory.version;
+}
+
+auto acceptConfirmed(server_directory &directory, instant now) -> bool
+{
+    std::vector<directory_entry> confirmed;
+    std::erase_if(directory.unconfirmed, [&](const auto &item) {
+        if (now < item.second.receivedAt + confirmationTime)
+            return false;
+        confirmed.push_back(item.second);
+        return true;
+    });
+    for (const auto &entry : confirmed) {
+        directory.removed.erase(entry.record.id);
+        setEntry(directory, entry);
+    }
+    return !confirmed.empty();
+}
+
+} // namespace
+
+auto isOutdated(const server_directory &directory, const server_record &record) -> bool
+{
+    return isRemoved(directory, record) || isReplaced(directory, record);
+}
+
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool
 {
     auto &latest = directory.latestStartById[record.id];
@@ -13,12 +96,15 @@
     latest = record.startTimeMs;
     auto &latestAtAddress = directory.latestStartByAddress[record.address];
     latestAtAddress = std::max(latestAtAddress, record.startTimeMs);
-    auto &entry = directory.entries[record.id];
-    const auto changed = entry.record != record || entry.missingSince;
-    entry = {record, now, std::nullopt};
-    if (changed)
-        ++directory.version;
-    return changed;
+    if (isReplaced(directory, record) || isRepeated(directory, record))
+        return clearMissing(directory, record.id);
+    if (isRemoved(directory, record)) {
+        directory.unconfirmed.try_emplace(record.id, directory_entry{record, now, std::nullopt});
+        return false;
+    }
+    directory.unconfirmed.erase(record.id);
+    directory.removed.erase(record.id);
+    return setEntry(directory, {record, now, std::nullopt});
 }
 
 auto recordServerLeaving(server_directory &directory, const server_id &id, std::int64_t startTimeMs)
@@ -34,6 +120,7 @@
 
 auto recordServerRemoved(server_directory &directory, const server_id &id, instant now) -> bool
 {
+    directory.unconfirmed.erase(id);
     const auto found = directory.entries.find(id);
     if (found == directory.entries.end())
         return false;
@@ -42,14 +129,15 @@
             found->second.missingSince = now;
         return false;
     }
-    directory.entries.erase(found);
-    ++directory.version;
+    eraseEntry(directory, id);
     return true;
 }
 
 auto retainServers(server_directory &directory, const std::set<server_id> &present, instant now)
         -> bool
 {
+    std::erase_if(directory.unconfirmed,
+                  [&](const auto &item) { return !present.contains(item.first); });
     std::vector<server_id> gone;
     for (const auto &[id, entry] : directory.entries) {
         if (!present.contains(id))
@@ -68,13 +156,17 @@
 
 auto dropMissing(server_directory &directory, instant now) -> bool
 {
+    const auto changed = acceptConfirmed(directory, now);
     if (now < directory.graceEnds)
-        return false;
-    const auto dropped = std::erase_if(directory.entries,
-                                       [](const auto &item) { return item.second.missingSince; });
-    if (dropped > 0)
-        ++directory.version;
-    return dropped > 0;
+        return changed;
+    std::vector<server_id> missing;
+    for (const auto &[id, entry] : directory.entries) {
+        if (entry.missingSince)
+            missing.push_back(id);
+    }
+    for (const auto &id : missing)
+        eraseEntry(directory, id);
+    return changed || !missing.empty();
 }
 
 auto setEvacuated(server_directory &directory, std::set<domain_id> domains) -> bool
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -18,10 +18,23 @@
     std::optional<instant> missingSince;
 };
 
-// Invariant: an entry is never replaced by an earlier incarnation of its server.
+// The last announcement of an incarnation that was removed.
+struct removed_server
+{
+    std::int64_t startTimeMs = 0;
+    std::uint64_t sequence = 0;
+};
+
+// Invariant: an entry is never replaced by an earlier incarnation of its server, nor by an earlier
+// announcement of the same incarnation.
 struct server_directory
 {
     std::map<server_id, directory_entry> entries;
+    // Removed incarnations, by id.
+    std::map<server_id, removed_server> removed;
+    // Entries of removed incarnations that an older copy of the store lists again. Their servers
+    // have left, unless the store still lists them after confirmationTime.
+    std::map<server_id, directory_entry> unconfirmed;
     // The latest start time known for each id and address. Kept after an entry is removed, so that
     // an ended incarnation is never accepted again.
     std::map<server_id, std::int64_t> latestStartById;
@@ -36,6 +49,14 @@
     std::uint64_t version = 0;
 };
 
+// How long a removed incarnation must be listed before it counts as alive. The store removes the
+// entry of a silent server sooner.
+inline constexpr duration confirmationTime = 10s;
+
+// True when an older copy of the store holds this entry: its incarnation has announced itself later
+// or was removed.
+auto isOutdated(const server_directory &directory, const server_record &record) -> bool;
+
 // Records an announcement. Returns whether anything but its age changed.
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool;
 
@@ -55,7 +76,8 @@
 // Starts the grace period after a store outage in which announcements may have expired.
 auto startGracePeriod(server_directory &directory, duration grace, instant now) -> void;
 
-// Removes the missing entries once the grace period has ended.
+// Removes the missing entries once the grace period has ended, and accepts removed servers that the
+// store still lists.
 auto dropMissing(server_directory &directory, instant now) -> bool;
 
 auto setEvacuated(server_directory &directory, std::set<domain_id> domains) -> bool;
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -120,7 +120,14 @@
         return;
     }
     const std::lock_guard guard(router.directory.lock);
-    if (!recordServer(router.directory.directory, *record, monotonicNow()))
+    auto &directory = router.directory.directory;
+    if (isOutdated(directory, *record))
+        logEvent(log_level::Info, "server_entry_outdated",
+                 {{"server", record->id},
+                  {"sequence", std::to_string(record->sequence)},
+                  {"revision", std::to_string(item.position.revision)},
+                  {"era", std::to_string(item.position.era)}});
+    if (!recordServer(directory, *record, monotonicNow()))
         return;
     publishDirectoryVersion(router);
     logEvent(log_level::Info, "server_updated",
--- a/tests/decisions/server_directory_test.cpp
+++ b/tests/decisions/server_directory_test.cpp
@@ -50,6 +50,7 @@
     SECTION("when_its_entry_was_removed_in_between")
     {
         recordServerRemoved(directory, "s1", now);
+        record.sequence = 1;
         recordServer(directory, record, now + 1s);
         CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
     }
@@ -145,4 +146,99 @@
     CHECK(coldUntil(directory.entries.at("s1")) == now + 4s);
 }
 
+TEST_CASE_METHOD(directory_with_a_server, "cold_time_is_not_prolonged_by_a_repeated_entry",
+                 "[directory]")
+{
+    record.warmupLeft = 3s;
+    recordServer(directory, record, now);
+    CHECK_FALSE(recordServer(directory, record, now + 2s));
+    CHECK(coldUntil(directory.entries.at("s1")) == now + 3s);
+}
+
+// The store may come back from an older copy, in which a server that drains is still ready.
+TEST_CASE_METHOD(directory_with_a_server, "older_entry_of_a_draining_server_is_ignored",
+                 "[directory]")
+{
+    record.sequence = 7;
+    record.draining = true;
+    recordServer(directory, record, now);
+    const auto version = directory.version;
+    record.sequence = 5;
+    record.draining = false;
+    CHECK(isOutdated(directory, record));
+    CHECK_FALSE(recordServer(directory, record, now + 1s));
+    CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+    CHECK(directory.version == version);
+    SECTION("a_later_announcement_is_accepted")
+    {
+        record.sequence = 8;
+        CHECK(recordServer(directory, record, now + 2s));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+    }
+    SECTION("a_later_incarnation_is_accepted")
+    {
+        record.startTimeMs = 2000;
+        record.sequence = 1;
+        CHECK_FALSE(isOutdated(directory, record));
+        CHECK(recordServer(directory, record, now + 2s));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+    }
+}
+
+// The store may come back from an older copy, in which a server that has left is still listed.
+TEST_CASE_METHOD(directory_with_a_server, "older_entry_of_a_removed_server_is_not_used",
+                 "[directory]")
+{
+    record.sequence = 7;
+    recordServer(directory, record, now);
+    recordServerRemoved(directory, "s1", now);
+    CHECK(isOutdated(directory, record));
+    CHECK_FALSE(recordServer(directory, record, now));
+    CHECK_FALSE(has("s1"));
+    CHECK_FALSE(dropMissing(directory, now + confirmationTime - 1ms));
+    CHECK_FALSE(has("s1"));
+    SECTION("unless_it_announces_itself_again")
+    {
+        record.sequence = 8;
+        CHECK(recordServer(directory, record, now + 1s));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+        CHECK_FALSE(dropMissing(directory, now + confirmationTime));
+    }
+    SECTION("unless_the_store_keeps_listing_it")
+    {
+        retainServers(directory, {"s1"}, now + 1s);
+        CHECK(dropMissing(directory, now + confirmationTime));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+        CHECK_FALSE(isOutdated(directory, record));
+    }
+    SECTION("when_the_store_removes_it_too")
+    {
+        recordServerRemoved(directory, "s1", now + 1s);
+        CHECK_FALSE(dropMissing(directory, now + confirmationTime));
+        CHECK_FALSE(has("s1"));
+    }
+    SECTION("when_a_later_listing_lacks_it")
+    {
+        retainServers(directory, {}, now + 1s);
+        CHECK_FALSE(dropMissing(directory, now + confirmationTime));
+        CHECK_FALSE(has("s1"));
+    }
+}
+
+// In a grace period a missing entry shows no departure, so the older entry shows that it is listed.
+TEST_CASE_METHOD(directory_with_a_server, "older_entry_of_a_missing_server_ends_its_absence",
+                 "[directory]")
+{
+    record.sequence = 7;
+    record.slots = 5;
+    recordServer(directory, record, now);
+    startGracePeriod(directory, 2s, now);
+    recordServerRemoved(directory, "s1", now);
+    record.sequence = 5;
+    record.slots = 3;
+    CHECK(recordServer(directory, record, now + 1s));
+    CHECK_FALSE(dropMissing(directory, now + 2s));
+    CHECK(directory.entries.at("s1").record.slots == 5);
+}
+
 } // namespace parsleyloft
--- a/tests/platform/site_decoder_test.cpp
+++ b/tests/platform/site_decoder_test.cpp
@@ -34,8 +34,15 @@
     const auto record = decode();
     REQUIRE(record);
     CHECK(*record
-          == server_record{
-                  "i-7f", "orders", {"10.1.0.9", 8080}, "bole", 3, false, 1500ms, 1767225600123});
+          == server_record{"i-7f",
+                           "orders",
+                           {"10.1.0.9", 8080},
+                           "bole",
+                           3,
+                           false,
+                           1500ms,
+                           1767225600123,
+                           4});
     replace("ready", "draining");
     CHECK(decode()->draining);
 }
--- a/tests/support/ownership_model.cpp
+++ b/tests/support/ownership_model.cpp
@@ -136,6 +136,13 @@
     recordServer(world.directory, server.record, world.now);
 }
 
+// The count of announcements rises, as that of a real server.
+auto announce(ownership_world &world, model_server &server) -> void
+{
+    ++server.record.sequence;
+    recordServer(world.directory, server.record, world.now);
+}
+
 auto crash(ownership_world &world, model_server &server) -> void
 {
     server.up = false;
@@ -157,7 +164,7 @@
     server.up = true;
     server.record.startTimeMs = world.nextStartTimeMs++;
     server.record.draining = false;
-    recordServer(world.directory, server.record, world.now);
+    announce(world, server);
 }
 
 auto injectFaults(ownership_world &world) -> void
@@ -174,7 +181,7 @@
             recordServerRemoved(world.directory, server.record.id, world.now);
     } else if (world.faults.drains && server.up && chance(world, 0.003)) {
         server.record.draining = !server.record.draining;
-        recordServer(world.directory, server.record, world.now);
+        announce(world, server);
     } else if (world.faults.vanishing && server.up && server.listed && chance(world, 0.003)) {
         server.listed = false;
         server.relistedAt = world.now + drawTime(world, 1s, 8s);
@@ -201,11 +208,11 @@
             restarting.push_back(number);
         if (!server.listed && server.up && world.now >= server.relistedAt) {
             server.listed = true;
-            recordServer(world.directory, server.record, world.now);
+            announce(world, server);
         }
         if (!isFaulty(world) && server.record.draining) {
             server.record.draining = false;
-            recordServer(world.directory, server.record, world.now);
+            announce(world, server);
         }
     }
     for (const auto number : restarting)
