Send a copy of the answer in the store client's scripted tests

newer_era_is_reported_once_also_by_an_error failed 2 times in 40 runs beside load (the last read got no answer): the handler sent the string that the test replaced as soon as the client had the answer, so the rest of a longer next answer followed the first. Test only; the client was right to drop the connection. The test of a restarted follower now has its updates before the delay of 50 ms starts, which a loaded machine could exceed.

--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -267,7 +267,11 @@
     }
 
     std::string next;
-    raw_server raw{[this](raw_connection &connection) { return sendAll(connection, next); }};
+    // The test may prepare the next answer once this one has been received, so a copy is sent.
+    raw_server raw{[this](raw_connection &connection) {
+        const auto bytes = next;
+        return sendAll(connection, bytes);
+    }};
     std::vector<std::pair<store_era, store_era>> seen;
 };
 
--- a/tests/router/store_follower_test.cpp
+++ b/tests/router/store_follower_test.cpp
@@ -257,9 +257,9 @@
     beginFollowing(follower);
     awaitWatches(1);
     recordEra(router.store, 2);
-    restartFollowers(router, 50ms);
     router.usesUpdateSource = true;
     applyUpdates(follower, {{}, {}, {2, 9}, true});
+    restartFollowers(router, 50ms);
     std::this_thread::sleep_for(std::chrono::milliseconds(150));
     CHECK(listings == 1);
     CHECK(watches == 1);
