Keep what an older copy of the store lacks until it is written again

The copy lacks evacuations, servers and hosts that were written since; operators, servers and hosts write them again within about 2 s. Until then the first full read of the new era ended evacuations that were confirmed, removed servers that serve, and made hosts leave the ranking of queue hosts and update sources.

After a newer era evacuations, servers and hosts that are not listed are kept for 2.5 s; an evacuation that the operator ends in that time ends at once, and those that the copy lists again are honoured. A host entry that is read again without a change no longer clears the ranking of queue hosts. When a full read lacks the leader's key, the delay of claims counts from that read.

--- a/decisions/membership.cpp
+++ b/decisions/membership.cpp
@@ -95,6 +95,40 @@
     return queueHosts;
 }
 
+auto retainHosts(std::map<host_id, member_host> &hosts, missing_hosts &missing,
+                 const std::set<host_id> &listed, const host_id &self, instant now) -> void
+{
+    missing.ids.clear();
+    std::erase_if(hosts, [&](const auto &entry) {
+        if (entry.first == self || listed.contains(entry.first))
+            return false;
+        if (now >= missing.graceEnds)
+            return true;
+        missing.ids.insert(entry.first);
+        return false;
+    });
+}
+
+auto removeHost(std::map<host_id, member_host> &hosts, missing_hosts &missing, const host_id &id,
+                instant now) -> void
+{
+    if (now >= missing.graceEnds)
+        hosts.erase(id);
+    else if (hosts.contains(id))
+        missing.ids.insert(id);
+}
+
+auto dropMissingHosts(std::map<host_id, member_host> &hosts, missing_hosts &missing, instant now)
+        -> bool
+{
+    if (missing.ids.empty() || now < missing.graceEnds)
+        return false;
+    for (const auto &id : missing.ids)
+        hosts.erase(id);
+    missing.ids.clear();
+    return true;
+}
+
 auto findRelays(const std::map<host_id, member_host> &hosts, const domain_id &domain,
                 const host_id &leader) -> std::vector<host_id>
 {
--- a/decisions/membership.h
+++ b/decisions/membership.h
@@ -14,6 +14,27 @@
 auto rankQueueHosts(const std::map<host_id, member_host> &hosts, const group_id &group)
         -> std::vector<host_id>;
 
+// Hosts that an older copy of the store lacks. They announce themselves again before the grace
+// period ends, or are gone.
+struct missing_hosts
+{
+    std::set<host_id> ids;
+    instant graceEnds{};
+};
+
+// Removes the hosts that are not listed, other than this host itself, or marks them as missing
+// during the grace period.
+auto retainHosts(std::map<host_id, member_host> &hosts, missing_hosts &missing,
+                 const std::set<host_id> &listed, const host_id &self, instant now) -> void;
+
+// Removes a host whose entry was deleted, or marks it as missing during the grace period.
+auto removeHost(std::map<host_id, member_host> &hosts, missing_hosts &missing, const host_id &id,
+                instant now) -> void;
+
+// Removes the missing hosts once the grace period has ended. Returns whether there were any.
+auto dropMissingHosts(std::map<host_id, member_host> &hosts, missing_hosts &missing, instant now)
+        -> bool;
+
 // The hosts of a failure domain that relay updates to the others there, the first choice first: the
 // first two of the domain in the order of leadershipRank, without the leader. Empty in small
 // fleets, whose leader serves every host itself.
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -81,6 +81,17 @@
     return !confirmed.empty();
 }
 
+auto dropUnconfirmedEvacuations(server_directory &directory, instant now) -> bool
+{
+    if (directory.unconfirmedEvacuations.empty() || now < directory.evacuationGraceEnds)
+        return false;
+    for (const auto &domain : directory.unconfirmedEvacuations)
+        directory.evacuated.erase(domain);
+    directory.unconfirmedEvacuations.clear();
+    ++directory.version;
+    return true;
+}
+
 } // namespace
 
 auto isOutdated(const server_directory &directory, const server_record &record) -> bool
@@ -154,9 +165,15 @@
     directory.graceEnds = now + grace;
 }
 
+auto startEvacuationGrace(server_directory &directory, duration grace, instant now) -> void
+{
+    directory.evacuationGraceEnds = now + grace;
+}
+
 auto dropMissing(server_directory &directory, instant now) -> bool
 {
-    const auto changed = acceptConfirmed(directory, now);
+    auto changed = acceptConfirmed(directory, now);
+    changed = dropUnconfirmedEvacuations(directory, now) || changed;
     if (now < directory.graceEnds)
         return changed;
     std::vector<server_id> missing;
@@ -169,11 +186,28 @@
     return changed || !missing.empty();
 }
 
-auto setEvacuated(server_directory &directory, std::set<domain_id> domains) -> bool
+auto setEvacuated(server_directory &directory, const domain_id &domain, bool evacuated) -> bool
+{
+    directory.unconfirmedEvacuations.erase(domain);
+    const auto changed = evacuated ? directory.evacuated.insert(domain).second
+                                   : directory.evacuated.erase(domain) > 0;
+    if (changed)
+        ++directory.version;
+    return changed;
+}
+
+auto retainEvacuated(server_directory &directory, std::set<domain_id> listed, instant now) -> bool
 {
-    if (directory.evacuated == domains)
+    directory.unconfirmedEvacuations.clear();
+    if (now < directory.evacuationGraceEnds) {
+        for (const auto &domain : directory.evacuated) {
+            if (listed.insert(domain).second)
+                directory.unconfirmedEvacuations.insert(domain);
+        }
+    }
+    if (directory.evacuated == listed)
         return false;
-    directory.evacuated = std::move(domains);
+    directory.evacuated = std::move(listed);
     ++directory.version;
     return true;
 }
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -43,8 +43,13 @@
     // such an incarnation never becomes usable again, whatever its entry says.
     std::map<server_id, std::int64_t> leavingStartById;
     std::set<domain_id> evacuated;
+    // Domains that were evacuated when the store came back from an older copy that does not list
+    // them. The operator evacuates them again before the grace period ends.
+    std::set<domain_id> unconfirmedEvacuations;
     // Missing entries are kept until then: their servers may announce themselves again.
     instant graceEnds{};
+    // Missing evacuations are kept until then.
+    instant evacuationGraceEnds{};
     // Rises with each change that affects dispatch or ownership.
     std::uint64_t version = 0;
 };
@@ -76,11 +81,19 @@
 // Starts the grace period after a store outage in which announcements may have expired.
 auto startGracePeriod(server_directory &directory, duration grace, instant now) -> void;
 
-// Removes the missing entries once the grace period has ended, and accepts removed servers that the
-// store still lists.
+// Starts the grace period for the evacuations too, after the store has come back from an older
+// copy.
+auto startEvacuationGrace(server_directory &directory, duration grace, instant now) -> void;
+
+// Removes the missing entries and evacuations once the grace period has ended, and accepts removed
+// servers that the store still lists.
 auto dropMissing(server_directory &directory, instant now) -> bool;
 
-auto setEvacuated(server_directory &directory, std::set<domain_id> domains) -> bool;
+// Records that an operator has evacuated a domain or has returned it to service.
+auto setEvacuated(server_directory &directory, const domain_id &domain, bool evacuated) -> bool;
+
+// Replaces the evacuated domains after a complete read of the store.
+auto retainEvacuated(server_directory &directory, std::set<domain_id> listed, instant now) -> bool;
 
 // True when new work may go to the server.
 auto isUsable(const server_directory &directory, const directory_entry &entry) -> bool;
--- a/router/era_change.cpp
+++ b/router/era_change.cpp
@@ -2,6 +2,7 @@
 #include "router/era_change.h"
 
 #include "router/leadership.h"
+#include "router/site_sync.h"
 #include "router/store_follower.h"
 #include "router/update_source.h"
 #include "telemetry/event_log.h"
@@ -14,6 +15,10 @@
 // the new era until then, so that the reads of all hosts do not reach the store at once.
 constexpr duration sourceReadTime = 500ms;
 
+// Operators and servers write again what the copy lacks within about 2 s of the return, and hosts
+// announce themselves under new leases.
+constexpr duration rewriteGrace = 2500ms;
+
 auto handleNewerEra(router_process &router, store_era previous, store_era era) -> void
 {
     // The first answer that states an era.
@@ -21,6 +26,7 @@
         return;
     logEvent(log_level::Warn, "store_era_changed",
              {{"era", std::to_string(era)}, {"previous", std::to_string(previous)}});
+    startGracePeriods(router, rewriteGrace);
     abandonLease(router, era);
     const auto hasSource = clearSourceSuspicions(router);
     restartFollowers(router, hasSource ? sourceReadTime : 0us);
--- a/router/router.h
+++ b/router/router.h
@@ -82,6 +82,7 @@
     std::mutex lock;
     // All guarded by lock. Always includes this host.
     std::map<host_id, member_host> hosts;
+    missing_hosts missing;
     // Cache: the hosts that may run the permit queue of a group, in order of preference. Cleared
     // when hosts changes.
     std::map<group_id, std::vector<host_id>> queueHosts;
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -24,7 +24,7 @@
 constexpr duration waitingHostsInterval = 50ms;
 constexpr duration connectionSweepInterval = 2s;
 constexpr duration parkedInterval = 25ms;
-constexpr duration missingServersInterval = 500ms;
+constexpr duration graceInterval = 500ms;
 
 constexpr std::size_t maxIdlePerServer = 6;
 // Answers may occupy 1/heldMemoryDivisor of the host's memory.
@@ -167,7 +167,7 @@
     repeatWhileRunning(router, waitingHostsInterval, answerDueHosts);
     repeatWhileRunning(router, connectionSweepInterval, sweepConnections);
     repeatWhileRunning(router, parkedInterval, resumeExpiredRequests);
-    repeatWhileRunning(router, missingServersInterval, removeMissingServers);
+    repeatWhileRunning(router, graceInterval, endGracePeriods);
 }
 
 auto sleepFor(duration length) -> void
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -62,12 +62,7 @@
 auto applyEvacuation(router_process &router, const domain_id &domain, bool out) -> void
 {
     const std::lock_guard guard(router.directory.lock);
-    auto domains = router.directory.directory.evacuated;
-    if (out)
-        domains.insert(domain);
-    else
-        domains.erase(domain);
-    if (!setEvacuated(router.directory.directory, std::move(domains)))
+    if (!setEvacuated(router.directory.directory, domain, out))
         return;
     publishDirectoryVersion(router);
     logEvent(log_level::Info, out ? "domain_out" : "domain_in_service", {{"domain", domain}});
@@ -81,7 +76,7 @@
         adoptConfiguration(router, item);
 }
 
-auto setEvacuatedDomains(router_process &router, const std::set<std::string> &present) -> void
+auto removeUnlistedEvacuations(router_process &router, const std::set<std::string> &present) -> void
 {
     std::set<domain_id> domains;
     for (const auto &key : present) {
@@ -89,8 +84,10 @@
             domains.insert(*domain);
     }
     const std::lock_guard guard(router.directory.lock);
-    if (setEvacuated(router.directory.directory, std::move(domains)))
+    if (retainEvacuated(router.directory.directory, std::move(domains), monotonicNow()))
         publishDirectoryVersion(router);
+    for (const auto &domain : router.directory.directory.unconfirmedEvacuations)
+        logEvent(log_level::Warn, "evacuation_unconfirmed", {{"domain", domain}});
 }
 
 auto applyRemovedServer(router_process &router, const store_item &item) -> void
@@ -156,21 +153,28 @@
     if (id == router.self.id)
         return;
     std::string address;
+    auto changed = true;
     {
         const std::lock_guard guard(router.members.lock);
-        router.members.queueHosts.clear();
+        auto &members = router.members;
         const auto member = item.deleted ? failure(error_code::NotFound, "deleted")
                                          : decodeMember(id, item.value);
+        const auto known = members.hosts.find(id);
+        changed = !member || known == members.hosts.end() || known->second != *member;
+        if (changed)
+            members.queueHosts.clear();
         if (member) {
-            router.members.hosts[id] = *member;
-            router.members.suspicions.erase(id);
+            members.hosts[id] = *member;
+            members.missing.ids.erase(id);
+            members.suspicions.erase(id);
             address = member->peerAddress;
         } else {
-            router.members.hosts.erase(id);
+            removeHost(members.hosts, members.missing, id, monotonicNow());
         }
     }
-    logEvent(log_level::Info, address.empty() ? "host_removed" : "host_updated",
-             {{"peer", id}, {"revision", std::to_string(item.position.revision)}});
+    if (changed)
+        logEvent(log_level::Info, address.empty() ? "host_removed" : "host_updated",
+                 {{"peer", id}, {"revision", std::to_string(item.position.revision)}});
     if (!address.empty())
         connectPeer(router.peers, address);
 }
@@ -203,14 +207,20 @@
 
 auto removeUnlistedMembers(router_process &router, const std::set<std::string> &present) -> void
 {
+    std::set<host_id> listed;
+    for (const auto &key : present) {
+        if (key.starts_with(hostsPrefix))
+            listed.insert(key.substr(hostsPrefix.size()));
+    }
+    const auto now = monotonicNow();
     const std::lock_guard guard(router.members.lock);
-    router.members.queueHosts.clear();
-    std::erase_if(router.members.hosts, [&](const auto &entry) {
-        return entry.first != router.self.id
-                && !present.contains(std::string(hostsPrefix) + entry.first);
-    });
-    if (!present.contains(std::string(leaderKey))) {
-        router.members.leader = {};
+    auto &members = router.members;
+    members.queueHosts.clear();
+    retainHosts(members.hosts, members.missing, listed, router.self.id, now);
+    if (!present.contains(std::string(leaderKey)) && members.leader.position.revision != 0) {
+        members.leader = {};
+        members.leaderlessSince = now;
+        logEvent(log_level::Info, "leader_changed", {{"leader", ""}, {"detail", "not listed"}});
     }
     // A host that joins a running fleet need not wait for its updates. In large fleets the reads of
     // all hosts together would cost more than the wait.
@@ -236,12 +246,13 @@
 
 auto prepareSync(router_process &router) -> void
 {
-    router.followers = {makeFollower(router, std::string(operatorPrefix), operatorWatchDelay,
-                                     makeHandlers(router, applyOperatorItem, setEvacuatedDomains)),
-                        makeFollower(router, std::string(serversPrefix), serversWatchDelay,
-                                     makeHandlers(router, applyServerItem, removeUnlistedServers)),
-                        makeFollower(router, std::string(livePrefix), sharedWatchDelay,
-                                     makeHandlers(router, applySharedItem, removeUnlistedMembers))};
+    router.followers = {
+            makeFollower(router, std::string(operatorPrefix), operatorWatchDelay,
+                         makeHandlers(router, applyOperatorItem, removeUnlistedEvacuations)),
+            makeFollower(router, std::string(serversPrefix), serversWatchDelay,
+                         makeHandlers(router, applyServerItem, removeUnlistedServers)),
+            makeFollower(router, std::string(livePrefix), sharedWatchDelay,
+                         makeHandlers(router, applySharedItem, removeUnlistedMembers))};
 }
 
 auto beginSync(router_process &router) -> void
@@ -299,13 +310,30 @@
         request.resume();
 }
 
-auto removeMissingServers(router_process &router) -> void
+auto startGracePeriods(router_process &router, duration grace) -> void
 {
-    const std::lock_guard guard(router.directory.lock);
-    if (!dropMissing(router.directory.directory, monotonicNow()))
+    const auto now = monotonicNow();
+    const std::scoped_lock guard(router.directory.lock, router.members.lock);
+    startGracePeriod(router.directory.directory, grace, now);
+    startEvacuationGrace(router.directory.directory, grace, now);
+    router.members.missing.graceEnds = now + grace;
+}
+
+auto endGracePeriods(router_process &router) -> void
+{
+    const auto now = monotonicNow();
+    {
+        const std::lock_guard guard(router.directory.lock);
+        if (dropMissing(router.directory.directory, now)) {
+            publishDirectoryVersion(router);
+            logEvent(log_level::Info, "missing_entries_settled", {});
+        }
+    }
+    const std::lock_guard guard(router.members.lock);
+    if (!dropMissingHosts(router.members.hosts, router.members.missing, now))
         return;
-    publishDirectoryVersion(router);
-    logEvent(log_level::Info, "missing_servers_removed", {});
+    router.members.queueHosts.clear();
+    logEvent(log_level::Info, "missing_hosts_removed", {});
 }
 
 } // namespace parsleyloft
--- a/router/site_sync.h
+++ b/router/site_sync.h
@@ -28,7 +28,12 @@
 // Resumes the requests that have waited for an owner for as long as they may.
 auto resumeExpiredRequests(router_process &router) -> void;
 
-// Removes servers that have not announced themselves again after an outage of the store.
-auto removeMissingServers(router_process &router) -> void;
+// Starts the time in which entries that an older copy of the store lacks are kept: operators,
+// servers and hosts write them again.
+auto startGracePeriods(router_process &router, duration grace) -> void;
+
+// Removes servers, evacuations and hosts that were not written again after an outage of the store
+// or its return from an older copy.
+auto endGracePeriods(router_process &router) -> void;
 
 } // namespace parsleyloft
--- a/tests/decisions/membership_test.cpp
+++ b/tests/decisions/membership_test.cpp
@@ -40,6 +40,16 @@
     std::map<host_id, member_host> hosts;
 };
 
+struct fleet_of_three : fleet
+{
+    fleet_of_three()
+        : fleet(3)
+    { }
+
+    instant now{1h};
+    missing_hosts missing;
+};
+
 } // namespace
 
 // One leader that answers every host spends its processor and its link on that: at 295 hosts it
@@ -152,4 +162,43 @@
     CHECK(claimDelay(1000) <= 3s);
 }
 
+// The store may come back from an older copy, which lacks hosts that have announced themselves
+// since.
+TEST_CASE_METHOD(fleet_of_three, "host_missing_from_an_older_copy_is_kept_for_a_while",
+                 "[membership]")
+{
+    missing.graceEnds = now + 2s;
+    const auto lapses = GENERATE(false, true);
+    if (lapses)
+        removeHost(hosts, missing, "h2", now);
+    else
+        retainHosts(hosts, missing, {"h1"}, "h0", now);
+    CHECK(hosts.contains("h2"));
+    CHECK_FALSE(dropMissingHosts(hosts, missing, now + 2s - 1ms));
+    SECTION("and_removed_after_it")
+    {
+        CHECK(dropMissingHosts(hosts, missing, now + 2s));
+        CHECK_FALSE(hosts.contains("h2"));
+        CHECK(hosts.size() == 2);
+    }
+    SECTION("and_stays_when_it_is_listed_again")
+    {
+        retainHosts(hosts, missing, {"h1", "h2"}, "h0", now + 1s);
+        CHECK_FALSE(dropMissingHosts(hosts, missing, now + 2s));
+        CHECK(hosts.size() == 3);
+    }
+}
+
+TEST_CASE_METHOD(fleet_of_three, "host_that_is_no_longer_listed_is_removed_at_once", "[membership]")
+{
+    const auto lapses = GENERATE(false, true);
+    if (lapses)
+        removeHost(hosts, missing, "h2", now);
+    else
+        retainHosts(hosts, missing, {"h1"}, "h0", now);
+    CHECK_FALSE(hosts.contains("h2"));
+    CHECK(hosts.contains("h0"));
+    CHECK(hosts.contains("h1"));
+}
+
 } // namespace parsleyloft
--- a/tests/decisions/server_directory_test.cpp
+++ b/tests/decisions/server_directory_test.cpp
@@ -103,9 +103,10 @@
 
 TEST_CASE_METHOD(directory_with_a_server, "evacuated_domain_has_no_usable_server", "[directory]")
 {
-    CHECK(setEvacuated(directory, {"a"}));
+    CHECK(setEvacuated(directory, "a", true));
+    CHECK_FALSE(setEvacuated(directory, "a", true));
     CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
-    CHECK(setEvacuated(directory, {}));
+    CHECK(setEvacuated(directory, "a", false));
     CHECK(isUsable(directory, directory.entries.at("s1")));
 }
 
@@ -241,4 +242,39 @@
     CHECK(directory.entries.at("s1").record.slots == 5);
 }
 
+// The store may come back from an older copy, which lacks an evacuation. The operator writes it
+// again.
+TEST_CASE_METHOD(directory_with_a_server,
+                 "evacuation_missing_from_an_older_copy_is_kept_for_a_while", "[directory]")
+{
+    setEvacuated(directory, "a", true);
+    startEvacuationGrace(directory, 2s, now);
+    CHECK_FALSE(retainEvacuated(directory, {}, now));
+    CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+    CHECK_FALSE(dropMissing(directory, now + 2s - 1ms));
+    SECTION("and_stays_when_it_is_written_again")
+    {
+        CHECK_FALSE(setEvacuated(directory, "a", true));
+        CHECK_FALSE(dropMissing(directory, now + 2s));
+        CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+    }
+    SECTION("and_ends_when_it_is_not")
+    {
+        CHECK(dropMissing(directory, now + 2s));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+    }
+    SECTION("and_ends_when_the_operator_ends_it")
+    {
+        CHECK(setEvacuated(directory, "a", false));
+        CHECK(isUsable(directory, directory.entries.at("s1")));
+    }
+}
+
+TEST_CASE_METHOD(directory_with_a_server, "evacuation_that_is_no_longer_listed_ends", "[directory]")
+{
+    setEvacuated(directory, "a", true);
+    CHECK(retainEvacuated(directory, {"b"}, now));
+    CHECK(directory.evacuated == std::set<domain_id>{"b"});
+}
+
 } // namespace parsleyloft
