--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -3,6 +3,7 @@
 
 #include "codec/json.h"
 #include "router/dump.h"
+#include "router/era_change.h"
 #include "router/leadership.h"
 #include "router/ownership_manager.h"
 #include "router/permits.h"
@@ -23,7 +24,7 @@
 constexpr duration waitingHostsInterval = 50ms;
 constexpr duration connectionSweepInterval = 2s;
 constexpr duration parkedInterval = 25ms;
-constexpr duration missingServersInterval = 500ms;
+constexpr duration graceInterval = 500ms;
 
 constexpr std::size_t maxIdlePerServer = 6;
 // Answers may occupy 1/heldMemoryDivisor of the host's memory.
@@ -166,7 +167,7 @@
     repeatWhileRunning(router, waitingHostsInterval, answerDueHosts);
     repeatWhileRunning(router, connectionSweepInterval, sweepConnections);
     repeatWhileRunning(router, parkedInterval, resumeExpiredRequests);
-    repeatWhileRunning(router, missingServersInterval, removeMissingServers);
+    repeatWhileRunning(router, graceInterval, endGracePeriods);
 }
 
 auto sleepFor(duration length) -> void
@@ -204,6 +205,7 @@
     router->workers = startWorkers(settings.worker_threads());
     makeClients(*router, settings);
     prepareSync(*router);
+    watchForNewEras(*router);
     const auto listening = listen(*router, settings);
     if (!listening)
         return tl::unexpected(listening.error());
