--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -241,7 +241,8 @@
     {
         const std::lock_guard guard(router.leadership.lock);
         const auto &own = router.leadership;
-        if (own.leaving || !own.announced || monotonicNow() >= own.leaseValidUntil)
+        if (own.leaving || !own.announced || own.leaseEra != era
+            || monotonicNow() >= own.leaseValidUntil)
             return;
         change.expect.push_back({std::string(leaderKey), replaced.revision});
         claim = {router.self.id, own.lease, era, {}};
--- a/router/leadership.h
+++ b/router/leadership.h
@@ -15,6 +15,7 @@
 // Gives up a lease of an older era and opens another one at once if this host may have to lead. The
 // old one is not ended: its id may stand for the lease of another host.
 auto abandonLease(router_process &router, store_era era) -> void;
+
 // The longest that a host can go on leading after its last renewal.
 auto candidateLeaseLength() -> duration;
 
