--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -112,7 +112,7 @@
     readItem(router.store, ownershipKey(service),
              [&router, service, leaderRevision](const result<store_item> &response) {
                  countStoreCall(router.metrics, "read", response.has_value());
-                 if (response) {
+                 if (response && response->position.era == leaderRevision.era) {
                      auto table = decodeOwnership(response->value);
                      if (table) {
                          adoptStoredTable(router, std::move(*table), response->position,
@@ -121,7 +121,7 @@
                      }
                      logEvent(log_level::Error, "ownership_unreadable",
                               {{"service", service}, {"detail", table.error().detail}});
-                 } else if (response.error().code == error_code::NotFound) {
+                 } else if (!response && response.error().code == error_code::NotFound) {
                      ownership_table empty;
                      empty.service = service;
                      adoptStoredTable(router, std::move(empty), {}, leaderRevision);
@@ -165,7 +165,9 @@
         if (managed == router.leadership.managed.end())
             return;
         managed->second.writeInFlight = false;
-        if (revision <= managed->second.revision)
+        // In a new era of the store this host leads by a void claim, and the table is an old one.
+        const auto era = managed->second.manager.table.leaderRevision.era;
+        if (revision.era != era || revision <= managed->second.revision)
             return;
         managed->second.revision = revision;
         managed->second.unstoredSince.reset();
