Let the stand-in of a keyed server remember fences

The platform's servers answer 409 to a grant if they have seen a higher fence on one of its keys. The stand-in forgot the fence with the release, so a lower one was taken afterwards, and a host that grants with fences of an old table looked sound.

--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -100,9 +100,10 @@
     if (!readLenientJson(request.body, message))
         return makeResponse(400, request);
     const auto now = monotonicNow();
-    for (const auto &range : server.held) {
-        const auto overlaps = range.from <= message.to() && range.to >= message.from();
-        if (overlaps && range.fence > message.fence())
+    // A server remembers the fences of holds that have ended.
+    for (const auto &hold : server.holds) {
+        const auto overlaps = hold.from <= message.to() && hold.to >= message.from();
+        if (overlaps && hold.fence > message.fence())
             return makeResponse(409, request);
     }
     std::erase_if(server.held, [&](const auto &range) {
