Reproduce OWNER after the store's return from a copy

The tests move all keys of a server, let the store return to a copy of before the move, and check the times during which either server held keys: none of them is held twice, and fences rise from server to server. Keys have to be served, and to move again, within the platform's 15 s.

Ruled out: that the outage alone, the lost hosts or the tests' bounds bring this about.

--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <functional>
+#include <set>
 #include <sys/wait.h>
 #include <thread>
 
@@ -19,10 +20,44 @@
 constexpr duration stableWindow = 3s;
 constexpr duration configurationBound = 2s;
 constexpr duration evacuationBound = 5s;
+constexpr duration recoveryBound = 15s;
 // Operators and servers have written their items again this long after the return.
 constexpr duration rewriteDelay = 1500ms;
 constexpr duration outage = 1s;
 constexpr duration pollInterval = 20ms;
+constexpr std::uint32_t lastKeyOfSite = 65535;
+
+enum class leader_loss : std::uint8_t { None, BeforeTheMove, AfterTheReturn };
+
+auto overlap(const key_hold &left, const key_hold &right) -> bool
+{
+    return left.from <= right.to && right.from <= left.to;
+}
+
+// What breaks the rule of one owner among the holds of two servers: keys that both held at the same
+// time, and keys that one took with a fence that is not above the other's earlier one.
+auto ownerBreaches(const std::vector<key_hold> &left, const std::vector<key_hold> &right)
+        -> std::set<std::string>
+{
+    std::set<std::string> breaches;
+    for (const auto &one : left) {
+        for (const auto &other : right) {
+            if (!overlap(one, other))
+                continue;
+            const auto &first = one.since < other.since ? one : other;
+            const auto &second = one.since < other.since ? other : one;
+            const auto keys = std::to_string(std::max(one.from, other.from)) + "-"
+                    + std::to_string(std::min(one.to, other.to));
+            const auto fences = " under fence " + std::to_string(first.fence) + ", then "
+                    + std::to_string(second.fence);
+            if (second.since < first.until)
+                breaches.insert("two servers held the keys " + keys + fences);
+            if (second.fence <= first.fence)
+                breaches.insert("a lower fence for the keys " + keys + fences);
+        }
+    }
+    return breaches;
+}
 
 struct restored_site : site_cluster
 {
@@ -103,12 +138,62 @@
         kill(processes.at("host-" + std::to_string(host)), signal);
     }
 
+    auto killHost(int host) -> void
+    {
+        signalHost(host, SIGKILL);
+        waitpid(processes.at("host-" + std::to_string(host)), nullptr, 0);
+    }
+
     // The host that the store names as the leader.
     auto leader() -> int
     {
         const auto value = findItem(*store, "parsleyloft/live/leader");
         return value && value->find("host-1") != std::string::npos ? 1 : 0;
     }
+
+    auto holdsAllKeys(const std::string &id) -> bool
+    {
+        return countHeldKeys(servers.at(id)) == lastKeyOfSite + 1;
+    }
+
+    // Takes a domain out of service until its keys have moved to the other server.
+    auto moveKeys(const std::string &domain, const std::string &to) -> void
+    {
+        putItem(*store, "op/evacuate/" + domain, "{}");
+        waitUntil("the keys have moved to " + to, [&] { return holdsAllKeys(to); });
+        putItem(*store, "op/evacuate/" + domain, "");
+    }
+
+    // Sends requests for keys of all ranges through both hosts, whether or not they are served.
+    auto requestKeysFor(duration length) -> void
+    {
+        const auto end = monotonicNow() + length;
+        for (std::uint32_t count = 0; monotonicNow() < end; ++count) {
+            caller_call call;
+            call.target = "/ledger/entry";
+            call.key = count * 4099 % (lastKeyOfSite + 1);
+            call.waitMs = 300;
+            callHost(*this, static_cast<int>(count % 2), call);
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+
+    auto areKeysServed(int host) -> bool
+    {
+        for (std::uint32_t key = 0; key <= lastKeyOfSite; key += 4099) {
+            caller_call call;
+            call.target = "/ledger/entry";
+            call.key = key;
+            if (callHost(*this, host, call).response.status != 200)
+                return false;
+        }
+        return true;
+    }
+
+    auto findOwnerBreaches() -> std::set<std::string>
+    {
+        return ownerBreaches(heldKeys(servers.at("ledger-a")), heldKeys(servers.at("ledger-b")));
+    }
 };
 
 auto isMetWithin(duration limit, const std::function<bool()> &condition) -> bool
@@ -284,8 +369,7 @@
 {
     const auto copy = copyStore(*store);
     for (int host = 0; host < 2; ++host) {
-        signalHost(host, SIGKILL);
-        waitpid(processes.at("host-" + std::to_string(host)), nullptr, 0);
+        killHost(host);
         startRoutingHost(*this, host);
     }
     awaitServing(*this);
@@ -325,4 +409,76 @@
     CHECK(isMetWithin(configurationBound, [&] { return isServedEverywhere("/later/x"); }));
 }
 
+// Guards against two servers with the same keys, and fences that were used before, once the table
+// of owners is one of before the keys moved; and against owners that can't change any more.
+TEST_CASE_METHOD(restored_site, "keys_moved_before_a_restore_keep_one_owner")
+{
+    const auto loss =
+            GENERATE(leader_loss::None, leader_loss::BeforeTheMove, leader_loss::AfterTheReturn);
+    const auto copy = copyStore(*store);
+    if (loss == leader_loss::BeforeTheMove) {
+        const auto lost = leader();
+        killHost(lost);
+        waitUntil("the other host leads", [&] { return leader() == 1 - lost; });
+        startRoutingHost(*this, lost);
+        awaitServing(*this);
+    }
+    moveKeys("a", "ledger-b");
+    restore(copy);
+    requestKeysFor(configurationBound);
+    if (loss == leader_loss::AfterTheReturn) {
+        const auto lost = leader();
+        killHost(lost);
+        requestKeysFor(configurationBound);
+        startRoutingHost(*this, lost);
+    }
+    requestKeysFor(recoveryBound);
+    CHECK(areKeysServed(0));
+    CHECK(areKeysServed(1));
+    putItem(*store, "op/evacuate/b", "{}");
+    CHECK(isMetWithin(recoveryBound, [&] { return holdsAllKeys("ledger-a"); }));
+    CHECK(areKeysServed(0));
+    CHECK(areKeysServed(1));
+    CHECK(findOwnerBreaches() == std::set<std::string>());
+}
+
+// Guards against hosts that take the table of a restored store for complete when none of them knows
+// what was granted since the copy, and against grants that servers refuse for ever because they
+// have seen higher fences.
+TEST_CASE_METHOD(restored_site, "keys_moved_before_a_restore_keep_one_owner_if_all_hosts_restart")
+{
+    const auto movedBack = GENERATE(false, true);
+    const auto copy = copyStore(*store);
+    moveKeys("a", "ledger-b");
+    if (movedBack)
+        moveKeys("b", "ledger-a");
+    restore(copy);
+    for (int host = 0; host < 2; ++host) {
+        killHost(host);
+        startRoutingHost(*this, host);
+    }
+    requestKeysFor(recoveryBound);
+    CHECK(isMetWithin(recoveryBound, [&] { return areKeysServed(0) && areKeysServed(1); }));
+    CHECK(findOwnerBreaches() == std::set<std::string>());
+}
+
+// Guards against fences and owners of the first return that are used again after the second.
+TEST_CASE_METHOD(restored_site, "keys_moved_between_two_restores_keep_one_owner")
+{
+    const auto copy = copyStore(*store);
+    moveKeys("a", "ledger-b");
+    restore(copy);
+    requestKeysFor(stableWindow);
+    putItem(*store, "op/evacuate/b", "{}");
+    CHECK(isMetWithin(recoveryBound, [&] { return holdsAllKeys("ledger-a"); }));
+    putItem(*store, "op/evacuate/b", "");
+    restore(copy);
+    requestKeysFor(stableWindow);
+    putItem(*store, "op/evacuate/a", "{}");
+    CHECK(isMetWithin(recoveryBound, [&] { return holdsAllKeys("ledger-b"); }));
+    CHECK(areKeysServed(0));
+    CHECK(areKeysServed(1));
+    CHECK(findOwnerBreaches() == std::set<std::string>());
+}
+
 } // namespace parsleyloft
