Test that an answer that stops in its head never reaches a caller

Another operator's callers got a 200 with an empty or short body when a server stopped in the middle of its answer's head and closed. It does not happen here: Beast reports partial_message or the reset, and the exchange ends as lost. No code changes.

The unit test cuts six heads (with a length, chunked, until the close, 204, after an interim head) at every byte, with a close and a reset, with and without a match by id. The process test gets four cuts in the head.

--- a/tests/process/answers_test.cpp
+++ b/tests/process/answers_test.cpp
@@ -178,6 +178,16 @@
             return false;
         });
     };
+    const auto endInHead = [&](auto partOfHead) {
+        const auto reset = size == 100;
+        answerBy([partOfHead, reset](raw_connection &connection) {
+            sendAll(connection, partOfHead(connection));
+            std::this_thread::sleep_for(20ms);
+            if (reset)
+                resetRaw(connection);
+            return false;
+        });
+    };
     SECTION("with_a_length")
     {
         answerAndEnd("Content-Length: " + std::to_string(size) + "\r\n\r\n" + half, false);
@@ -194,6 +204,23 @@
     {
         answerAndEnd("\r\n" + half, true);
     }
+    SECTION("in_the_status_line")
+    {
+        endInHead([](const raw_connection &) { return "HTTP/1.1 200 O"; });
+    }
+    SECTION("in_a_header")
+    {
+        endInHead(
+                [](const raw_connection &connection) { return headOf(connection) + "Content-Le"; });
+    }
+    SECTION("before_the_blank_line")
+    {
+        endInHead([](const raw_connection &connection) { return headOf(connection); });
+    }
+    SECTION("in_the_blank_line")
+    {
+        endInHead([](const raw_connection &connection) { return headOf(connection) + "\r"; });
+    }
     for (int host = 0; host < 2; ++host) {
         const auto read = callHost(*this, host, {});
         CHECK((read.failure != http_failure::None || read.response.status >= 500));
--- a/tests/transport/http_stream_test.cpp
+++ b/tests/transport/http_stream_test.cpp
@@ -267,6 +267,40 @@
     CHECK_FALSE(call().reused);
 }
 
+// A server that stops in the middle of its answer's head: a parser that takes the end of the
+// connection for the end of the head yields a success with an empty body.
+TEST_CASE_METHOD(client_of_a_raw_server, "head_that_breaks_off_at_any_byte_is_no_answer",
+                 "[stream]")
+{
+    const std::string blankLine = "\r\n";
+    const auto head =
+            GENERATE_COPY(ownHead + "Content-Length: 3\r\nKeep-Alive: timeout=10\r\n" + blankLine,
+                          ownHead + "Content-Length: 0\r\n" + blankLine,
+                          ownHead + "Transfer-Encoding: chunked\r\n" + blankLine,
+                          ownHead + "Connection: close\r\n" + blankLine,
+                          "HTTP/1.1 204 No Content\r\nId: r1\r\n" + blankLine,
+                          "HTTP/1.1 103 Early Hints\r\nId: r1\r\n\r\n" + ownHead + blankLine);
+    const auto reset = GENERATE(false, true);
+    const auto header = GENERATE(as<std::string>{}, "Id", "");
+    std::atomic<std::size_t> cut = 0;
+    serve([&](raw_connection &connection) {
+        sendAll(connection, head.substr(0, cut));
+        // The client has to receive the bytes before a reset discards them.
+        if (reset) {
+            std::this_thread::sleep_for(2ms);
+            resetRaw(connection);
+        }
+        return false;
+    });
+    for (; cut < head.size(); ++cut) {
+        const auto outcome = call(2s, heldBytes, header);
+        CAPTURE(head, cut.load());
+        CHECK(outcome.failure == http_failure::ResponseLost);
+        CHECK(outcome.response.status == 0);
+        CHECK(outcome.response.rest == nullptr);
+    }
+}
+
 TEST_CASE_METHOD(client_of_a_raw_server, "bytes_without_end_are_cut_off", "[stream]")
 {
     const std::string filler(heldBytes, 'x');
