Refuse late requests that a planned stop would cut

Callers of a host that was stopped (SIGTERM) got no answer to requests that it had taken and passed on during the grace, among them requests that must not run twice.

Cause: a stopping host took each request with the caller's full deadline, whatever was left of the grace, and ended while the server was at work.

Ruled out: connections closed between reading and passing on (planned_stop_cuts_off_no_request... passes before and after).

Change: from SIGTERM on a request is passed on only if three times its route's usual latency, or its own deadline, ends before the host. Once the host has stopped listening, a request that must not run twice is taken only if its deadline ends before the host. Others are refused at once with 503 and Retry-After, also when their permit comes too late. What is taken gets a deadline 0.7 s before the grace ends, so that its server answers before the host ends, with 504 at worst.

Open: a request from before SIGTERM that still waits for a permit or an owner when the host ends is cut, and so is work from before SIGTERM that outlasts the grace. A server that ignores its deadline gets cut at 504.

--- a/decisions/attempt_rules.cpp
+++ b/decisions/attempt_rules.cpp
@@ -12,6 +12,8 @@
 constexpr duration minRetryAfter = 50ms;
 constexpr duration maxRetryAfter = 400ms;
 constexpr int remainingTimeDivisor = 3;
+// A stopping host takes requests that end in time even if they take this much longer than usual.
+constexpr int stoppingLatencyFactor = 3;
 
 // Statuses by which callers take a request as not run.
 auto isRefusalStatus(unsigned status) -> bool
@@ -92,6 +94,15 @@
     return finalAction(history);
 }
 
+auto mayTakeWhileStopping(const stopping_request &request, instant answersBy, instant now) -> bool
+{
+    if (request.deadline <= answersBy)
+        return true;
+    if (request.late && request.kind == repeatability::AtMostOnce)
+        return false;
+    return now + request.expected * stoppingLatencyFactor <= answersBy;
+}
+
 auto retryAfter(duration expectedWait, duration remaining, std::uint64_t seed) -> duration
 {
     const auto base = std::clamp(expectedWait, minRetryAfter, maxRetryAfter);
--- a/decisions/attempt_rules.h
+++ b/decisions/attempt_rules.h
@@ -90,6 +90,22 @@
 // The action for a request that gets no further attempt.
 auto finalAction(const attempt_history &history) -> attempt_action;
 
+// A request at a host that is stopping.
+struct stopping_request
+{
+    repeatability kind = repeatability::AtMostOnce;
+    instant deadline{};
+    // How long the request's route usually takes.
+    duration expected = 0us;
+    // The host accepts no more connections, so callers have been sent to other hosts.
+    bool late = false;
+};
+
+// True when the request can be expected to be answered before the host ends. A late request that
+// must not run twice has to be sure to be answered, because its caller can still repeat it after a
+// refusal, but not after a broken connection.
+auto mayTakeWhileStopping(const stopping_request &request, instant answersBy, instant now) -> bool;
+
 // The Retry-After time of a refused request: the expected wait plus a spread, so that callers
 // refused at the same time don't all return at the same time. At most a third of the remaining
 // time.
--- a/router/flow_state.h
+++ b/router/flow_state.h
@@ -29,6 +29,8 @@
     instant targetEnds{};
     // The caller must have an answer by then.
     instant deadline{};
+    // True when the deadline is the end of this host, which comes before the request's own.
+    bool endsWithHost = false;
     // Hash of the request id, for choices that spread requests.
     std::uint64_t seed = 0;
 
--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -17,6 +17,8 @@
 // The server's deadline is this much earlier than this host's, so that its response still arrives.
 constexpr duration serverDeadlineMargin = 10ms;
 constexpr duration connectLimit = 300ms;
+// How much longer the answer of a server is awaited whose deadline is the end of this host.
+constexpr duration lastAnswerWait = 150ms;
 // On a host short of processor time a send may start late. A send that has not started within this
 // fails as not sent, and the conditions, such as the time left, are checked again before the next.
 constexpr duration maxSendDelay = 320ms;
@@ -46,9 +48,11 @@
     ServerTimedOut,
     BudgetSpent,
     CallerGone,
+    // This host stops before the request would be answered.
+    Stopping,
 };
 
-constexpr name_table<request_result, 13> requestResultNames{{
+constexpr name_table<request_result, 14> requestResultNames{{
         {request_result::Answered, "answered"},
         {request_result::NoConfiguration, "no_configuration"},
         {request_result::BadRequest, "bad_request"},
@@ -62,20 +66,45 @@
         {request_result::ServerTimedOut, "server_timed_out"},
         {request_result::BudgetSpent, "budget_spent"},
         {request_result::CallerGone, "caller_gone"},
+        {request_result::Stopping, "stopping"},
 }};
 
 auto dispatch(const shared_flow &flow) -> void;
 
+// The usual time of the route's requests.
+auto expectedLatency(request_flow &flow) -> duration
+{
+    const std::lock_guard guard(flow.router.work.lock);
+    const auto known = flow.router.work.smoothedLatency.find(flow.matchedRoute->name);
+    return known == flow.router.work.smoothedLatency.end()
+            ? flow.matchedRoute->target / initialLatencyDivisor
+            : known->second;
+}
+
+// While this host stops, ends the request's time with it. Returns false when the request would not
+// be answered by then.
+auto fitsIntoStop(request_flow &flow) -> bool
+{
+    if (!flow.router.draining)
+        return true;
+    const instant answersBy = flow.router.answersBy;
+    const stopping_request request{flow.matchedRoute->kind, flow.deadline, expectedLatency(flow),
+                                   flow.router.listeningStopped};
+    if (!mayTakeWhileStopping(request, answersBy, monotonicNow()))
+        return false;
+    flow.endsWithHost = flow.endsWithHost || flow.deadline > answersBy;
+    flow.deadline = std::min(flow.deadline, answersBy);
+    flow.targetEnds = std::min(flow.targetEnds, flow.deadline);
+    return true;
+}
+
 // Adds the expected work of a request to the load of its key, whether or not it will be served.
 auto recordRequestedWork(request_flow &flow) -> void
 {
     if (!flow.keyed)
         return;
+    const auto latency = expectedLatency(flow);
     const std::lock_guard guard(flow.router.work.lock);
-    const auto known = flow.router.work.smoothedLatency.find(flow.matchedRoute->name);
-    const auto latency = known == flow.router.work.smoothedLatency.end()
-            ? flow.matchedRoute->target / initialLatencyDivisor
-            : known->second;
     flow.router.work.requested[flow.service][*flow.callerRequest.key] +=
             static_cast<double>(latency.count());
 }
@@ -220,6 +249,11 @@
 
 auto sendToServer(const shared_flow &flow, const held_permit &permit) -> void
 {
+    if (!fitsIntoStop(*flow)) {
+        returnUnused(flow, permit);
+        finishRequest(flow, request_result::Stopping);
+        return;
+    }
     const auto now = monotonicNow();
     endpoint address;
     auto usable = false;
@@ -258,7 +292,7 @@
         return;
     }
     http_send_options options;
-    options.timeout = left;
+    options.timeout = flow->endsWithHost ? left + lastAnswerWait : left;
     options.matchHeader = requestIdHeader();
     options.preserveHeaders = true;
     options.connectTimeout = connectLimit;
@@ -548,6 +582,10 @@
     flow->arrived = monotonicNow();
     if (!prepareRequest(flow))
         return;
+    if (!fitsIntoStop(*flow)) {
+        answerRefusal(flow, request_result::Stopping);
+        return;
+    }
     addToRepeatBudget(*flow);
     recordRequestedWork(*flow);
     onCallerDisconnect(caller, [flow] { handleCallerGone(flow); });
--- a/router/router.h
+++ b/router/router.h
@@ -285,6 +285,10 @@
     // The bytes of one answer that this host holds while it passes the answer on.
     std::atomic<std::size_t> heldAnswerBytes = 0;
     std::atomic<bool> draining = false;
+    // Servers must have answered by then, because this host ends. Set before draining.
+    std::atomic<instant> answersBy = instant::max();
+    // True once this host accepts no more connections of callers.
+    std::atomic<bool> listeningStopped = false;
     std::atomic<bool> stopping = false;
     std::atomic<permit_number> nextPermit = 1;
 };
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -42,6 +42,8 @@
 // ready, and a reserve for the end of the stop. Callers have the rest to close their connections.
 constexpr duration balancerDelay = 2500ms;
 constexpr duration stopReserve = 500ms;
+// What it takes to pass a server's last answer on.
+constexpr duration lastAnswerMargin = 200ms;
 constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 
 auto peerHandlers(router_process &router) -> peer_handlers
@@ -237,11 +239,13 @@
     const auto drainEnds = monotonicNow() + grace - stopReserve;
     logEvent(log_level::Info, "drain_began",
              {{"requests", std::to_string(countOpenRequests(router.callerServer))}});
+    router.answersBy = drainEnds - lastAnswerMargin;
     router.draining = true;
     releaseLease(router);
     beginHttpDrain(*router.workers, router.callerServer);
     sleepFor(std::min<duration>(balancerDelay, grace / 2));
     stopListening(router.callerServer);
+    router.listeningStopped = true;
     const auto completed = waitForCallers(router, drainEnds);
     router.stopping = true;
     logEvent(log_level::Info, "stopped", {{"whole", completed ? "yes" : "no"}});
--- a/tests/decisions/attempt_rules_test.cpp
+++ b/tests/decisions/attempt_rules_test.cpp
@@ -91,6 +91,22 @@
     CHECK(actionAfter(permit_result::Failed, repeatability::Idempotent) == attempt_action::Respond);
 }
 
+// Guards against LOST: a request that its host's planned stop would cut is refused instead.
+TEST_CASE("stopping_host_takes_only_requests_that_it_can_answer", "[attempt]")
+{
+    const instant now{10s};
+    const auto isTaken = [&](repeatability kind, duration deadline, duration expected, bool late) {
+        return mayTakeWhileStopping({kind, now + deadline, expected, late}, now + 2s, now);
+    };
+    for (const auto kind : {repeatability::Idempotent, repeatability::AtMostOnce}) {
+        CHECK(isTaken(kind, 2s, 5s, true));
+        CHECK(isTaken(kind, 9s, 600ms, false));
+        CHECK_FALSE(isTaken(kind, 9s, 700ms, false));
+    }
+    CHECK(isTaken(repeatability::Idempotent, 9s, 600ms, true));
+    CHECK_FALSE(isTaken(repeatability::AtMostOnce, 9s, 1ms, true));
+}
+
 TEST_CASE("retry_after_is_spread_and_within_a_third_of_the_remaining_time", "[attempt]")
 {
     std::set<duration> waits;
--- a/tests/process/operator_reports_test.cpp
+++ b/tests/process/operator_reports_test.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <csignal>
 #include <mutex>
+#include <set>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -33,7 +34,7 @@
     {
         const auto target = callerAddress(cluster, host);
         handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const timeval timeout{5, 0};
+        const timeval timeout{8, 0};
         ::setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -145,6 +146,89 @@
     }
 }
 
+// Guards against LOST: requests that come late in the grace are passed on, and the host ends while
+// their server is at work.
+TEST_CASE_METHOD(two_hosts_and_reports, "late_request_of_a_planned_stop_is_answered_or_refused")
+{
+    const auto work = GENERATE(100ms, 10000ms);
+    const auto method = GENERATE(as<std::string>{}, "GET", "DELETE");
+    const auto path = std::string(method == "GET" ? "/long/" : "/longorder/");
+    std::mutex lock;
+    std::set<std::string> runs;
+    // It answers 504 at the deadline that it receives, as the servers of the platform do.
+    raw_server raw([&](raw_connection &connection) {
+        const auto id = rawHeader(connection, "X-Request-Id");
+        {
+            const std::lock_guard guard(lock);
+            runs.insert(id);
+        }
+        const std::chrono::milliseconds deadline(
+                std::stol("0" + rawHeader(connection, "X-Deadline-Ms")));
+        std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(
+                connection.request.find(" /long") != std::string::npos ? work : 1ms, deadline));
+        return sendAll(connection,
+                       std::string(work <= deadline ? "HTTP/1.1 200 OK" : "HTTP/1.1 504 Late")
+                               + "\r\nX-Request-Id: " + id
+                               + "\r\nX-Upstream-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
+    });
+    putItem(*store, "servers/shop-a", "");
+    putItem(*store, "servers/shop-b", "");
+    putItem(*store, "servers/raw",
+            R"({"service":"shop","address":"127.0.0.1:)" + std::to_string(raw.address.port)
+                    + R"(","zone":"a","slots":64,"state":"ready","warmup_left_ms":0,)"
+                      R"("version":"v1","seq":1,"born":5})");
+    waitUntil("the server is used", [&] {
+        callHost(*this, 0, {});
+        const std::lock_guard guard(lock);
+        return !runs.empty();
+    });
+    const auto textOf = [&](const std::string &id) {
+        return method + " " + path + "1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
+                + "\r\nX-Deadline-Ms: 15000\r\n\r\n";
+    };
+    // The end of each request is sent at its time after the signal, up to the end of the grace.
+    std::vector<std::string> answers(21);
+    std::vector<std::thread> callers;
+    const auto start = std::chrono::steady_clock::now() + 300ms;
+    for (std::size_t index = 0; index < answers.size(); ++index)
+        callers.emplace_back([&, index] {
+            const auto sentAt = start + static_cast<int>(index + 1) * 250ms;
+            const auto kept = index % 2 == 0 && index < 10;
+            std::this_thread::sleep_until(kept ? start - 100ms
+                                               : std::min<std::chrono::steady_clock::time_point>(
+                                                       sentAt - 50ms, start + 2300ms));
+            caller_socket caller(*this, 0);
+            if (kept) {
+                caller.write(requestText("GET", "warm-" + std::to_string(index)));
+                caller.readAnswer();
+            }
+            const auto text = textOf("late-" + std::to_string(index));
+            caller.write(text.substr(0, 20));
+            std::this_thread::sleep_until(sentAt);
+            caller.write(text.substr(20));
+            answers[index] = caller.readAnswer();
+        });
+    std::this_thread::sleep_until(start);
+    signalHost(0, SIGTERM);
+    for (auto &caller : callers)
+        caller.join();
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        const auto &answer = answers[index];
+        const std::lock_guard guard(lock);
+        const auto ran = runs.contains("late-" + std::to_string(index));
+        CAPTURE((index + 1) * 250, ran, answer);
+        CHECK(caller_socket::isComplete(answer));
+        CHECK(answer.starts_with("HTTP/1.1 503") == !ran);
+        if (!ran)
+            CHECK(answer.find("Retry-After: ") != std::string::npos);
+        else if (work == 100ms)
+            CHECK(isSuccess(answer));
+        // What ends soon is taken while the platform still sends callers here.
+        if (work == 100ms && (index + 1) * 250 < 2500)
+            CHECK(ran);
+    }
+}
+
 // Everything is restarted while the store is away, and a server leaves meanwhile.
 TEST_CASE_METHOD(two_hosts_and_reports,
                  "server_that_left_during_an_outage_is_not_used_after_a_restart")
--- a/tests/support/site_cluster.cpp
+++ b/tests/support/site_cluster.cpp
@@ -79,14 +79,15 @@
 }
 
 auto addRoute(wire::SiteConfiguration &configuration, const std::string &prefix,
-              const std::string &service, const std::string &kind) -> void
+              const std::string &service, const std::string &kind, std::uint32_t timeoutMs = 2000)
+        -> void
 {
     auto *added = configuration.add_routes();
     added->set_name("r" + std::to_string(configuration.routes_size()));
     added->set_host("shop.example");
     added->set_prefix(prefix);
     added->set_kind(kind);
-    added->set_timeout_ms(2000);
+    added->set_timeout_ms(timeoutMs);
     added->set_target_ms(500);
     added->set_priority(1);
     added->set_service(service);
@@ -249,6 +250,8 @@
     addRoute(configuration, "/shop/", "shop", "safe");
     addRoute(configuration, "/order/", "shop", "unsafe");
     addRoute(configuration, "/ledger/", "ledger", "safe");
+    addRoute(configuration, "/long/", "shop", "safe", 20000);
+    addRoute(configuration, "/longorder/", "shop", "unsafe", 20000);
     for (const auto &prefix : morePrefixes)
         addRoute(configuration, prefix, "shop", "safe");
     auto *shop = configuration.add_services();
