--- a/router/counters.cpp
+++ b/router/counters.cpp
@@ -62,6 +62,12 @@
                                        .Help("1 while this host is the leader, which assigns keys.")
                                        .Register(registry)
                                        .Add({});
+    prometheus::Gauge &storeEra =
+            prometheus::BuildGauge()
+                    .Name("parsleyloft_store_era")
+                    .Help("How often the store has come back from an older copy, as last seen.")
+                    .Register(registry)
+                    .Add({});
 };
 
 auto makeCounters() -> counters
@@ -132,6 +138,11 @@
     metrics.impl->leads.Set(leading ? 1 : 0);
 }
 
+auto setStoreEra(counters &metrics, std::uint64_t era) -> void
+{
+    metrics.impl->storeEra.Set(static_cast<double>(era));
+}
+
 auto renderCounters(const counters &metrics) -> std::string
 {
     return prometheus::TextSerializer().Serialize(metrics.impl->registry.Collect());
--- a/router/counters.h
+++ b/router/counters.h
@@ -39,6 +39,7 @@
 // A malformed or unknown part of an item.
 auto countDefect(counters &metrics, store_item_kind kind) -> void;
 auto setLeading(counters &metrics, bool leading) -> void;
+auto setStoreEra(counters &metrics, std::uint64_t era) -> void;
 
 // All metrics in the text format of Prometheus.
 auto renderCounters(const counters &metrics) -> std::string;
--- a/router/era_change.cpp
+++ b/router/era_change.cpp
@@ -21,6 +21,7 @@
 
 auto handleNewerEra(router_process &router, store_era previous, store_era era) -> void
 {
+    setStoreEra(router.metrics, era);
     // The first answer that states an era.
     if (previous == 0)
         return;
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -326,7 +326,7 @@
         const std::lock_guard guard(router.directory.lock);
         if (dropMissing(router.directory.directory, now)) {
             publishDirectoryVersion(router);
-            logEvent(log_level::Info, "missing_entries_settled", {});
+            logEvent(log_level::Info, "grace_period_ended", {});
         }
     }
     const std::lock_guard guard(router.members.lock);
