--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -49,8 +49,8 @@
 {
     duration timeout = 1s;
     // Name of a request header that the response must repeat unchanged; empty for none.
-    // Responses with another value, or without the header, belong to other requests and are skipped.
-    // A request without the header gets the first response without it.
+    // Responses with another value, or without the header, belong to other requests and are
+    // skipped. A request without the header gets the first response without it.
     std::string matchHeader;
     // Send over a connection that has carried no earlier request.
     bool newConnection = false;
