--- a/review/1/scene.cpp
+++ b/review/1/scene.cpp
@@ -1,5 +1,5 @@
-// An entry of another writer names a service that the configuration doesn't name, and the address of
-// a server that holds keys.
+// A young deployment: the store is away for a moment and comes back from a copy of before the hosts'
+// first table of owners. Meanwhile hosts are added.
 #include "stand/site.h"
 
 #include <iostream>
@@ -8,21 +8,22 @@
 
 namespace {
 
-constexpr auto calmBefore = std::chrono::seconds(5);
-constexpr auto watched = std::chrono::seconds(14);
-constexpr double requestsPerSecond = 60;
+constexpr auto calmBefore = std::chrono::milliseconds(5000);
+constexpr auto away = std::chrono::milliseconds(3000);
+constexpr auto addedAfter = std::chrono::milliseconds(700);
+constexpr int addedHosts = 3;
+constexpr auto watched = std::chrono::seconds(16);
+constexpr double requestsPerSecond = 120;
 
 auto deploymentOptions() -> site_options
 {
     site_options options;
     options.zones = {"sued-a", "sued-b", "sued-c"};
-    for (int index = 0; index < 6; ++index) {
+    for (int index = 0; index < 12; ++index) {
         const auto &zone = options.zones[static_cast<std::size_t>(index) % options.zones.size()];
         options.servers.push_back({"i-board-" + std::to_string(index), "board", zone, true});
     }
-    for (int index = 0; index < 3; ++index)
-        options.servers.push_back({"i-plan-" + std::to_string(index), "plan",
-                                   options.zones[static_cast<std::size_t>(index)]});
+    options.spareHosts = addedHosts;
     return options;
 }
 
@@ -32,6 +33,8 @@
 {
     openRecord(std::string(std::getenv("CASE_FOLDER")) + "/record.txt");
     site deployment(deploymentOptions());
+    // The hosts have written nothing yet.
+    const auto copy = copyStore(deployment.store);
     awaitServing(deployment);
     record("all keys are held");
     std::size_t breaches = 0;
@@ -39,14 +42,23 @@
         load callers(deployment, requestsPerSecond, "/board/1");
         owner_watch watch(deployment);
         std::this_thread::sleep_for(calmBefore);
-        if (!isOff("TROUBLE")) {
-            auto other = review::server();
-            other.options = deployment.servers.front()->options;
-            other.options.service = "board-metrics";
-            other.address = deployment.servers.front()->address;
-            other.born = deployment.servers.front()->born + 1000;
-            record("another writer writes servers/metrics-0: " + serverEntry(other));
-            putItem(deployment.store, "servers/metrics-0", serverEntry(other));
+        // TROUBLE=0 leaves out the drill, not the planned work. ADD=0 leaves out the planned work.
+        const auto drill = !isOff("TROUBLE");
+        if (drill) {
+            record("the store is away");
+            setStoreFaults(deployment.store, {.unavailable = true});
+        }
+        std::this_thread::sleep_for(addedAfter);
+        for (auto &entry : deployment.hosts) {
+            if (entry.process == 0 && !isOff("ADD"))
+                startHost(entry);
+        }
+        std::this_thread::sleep_for(away - addedAfter);
+        if (drill) {
+            restoreStore(deployment.store, copy);
+            setStoreFaults(deployment.store, {});
+            record("the store is back, from a copy that is "
+                   + std::to_string(static_cast<int>(secondsSinceStart())) + " s old");
         }
         std::this_thread::sleep_for(watched);
         const std::lock_guard guard(watch.lock);
--- a/review/2/scene.cpp
+++ b/review/2/scene.cpp
@@ -1,4 +1,5 @@
-// A server of a keyed service crashes and starts again under its id.
+// An entry of another writer names a service that the configuration doesn't name, and the address of
+// a server that holds keys.
 #include "stand/site.h"
 
 #include <iostream>
@@ -7,22 +8,21 @@
 
 namespace {
 
-constexpr auto calmBefore = std::chrono::seconds(4);
-constexpr int crashes = 6;
-constexpr auto down = std::chrono::milliseconds(1000);
-constexpr auto calmAfter = std::chrono::seconds(13);
-// A server writes to the store about every heartbeat, so first within this time.
-constexpr int heartbeatMs = 1500;
-constexpr double requestsPerSecond = 100;
+constexpr auto calmBefore = std::chrono::seconds(5);
+constexpr auto watched = std::chrono::seconds(14);
+constexpr double requestsPerSecond = 60;
 
 auto deploymentOptions() -> site_options
 {
     site_options options;
     options.zones = {"sued-a", "sued-b", "sued-c"};
-    for (int index = 0; index < 12; ++index) {
+    for (int index = 0; index < 6; ++index) {
         const auto &zone = options.zones[static_cast<std::size_t>(index) % options.zones.size()];
         options.servers.push_back({"i-board-" + std::to_string(index), "board", zone, true});
     }
+    for (int index = 0; index < 3; ++index)
+        options.servers.push_back({"i-plan-" + std::to_string(index), "plan",
+                                   options.zones[static_cast<std::size_t>(index)]});
     return options;
 }
 
@@ -38,19 +38,19 @@
     {
         load callers(deployment, requestsPerSecond, "/board/1");
         owner_watch watch(deployment);
-        std::mt19937 random{std::random_device{}()};
         std::this_thread::sleep_for(calmBefore);
-        for (std::size_t round = 0; round < crashes && breaches == 0; ++round) {
-            if (!isOff("TROUBLE")) {
-                crashServer(*deployment.servers[round]);
-                std::this_thread::sleep_for(down);
-                restartServer(deployment, round,
-                              std::chrono::milliseconds(random() % heartbeatMs));
-            }
-            std::this_thread::sleep_for(calmAfter);
-            const std::lock_guard guard(watch.lock);
-            breaches = watch.breaches.size();
+        if (!isOff("TROUBLE")) {
+            auto other = review::server();
+            other.options = deployment.servers.front()->options;
+            other.options.service = "board-metrics";
+            other.address = deployment.servers.front()->address;
+            other.born = deployment.servers.front()->born + 1000;
+            record("another writer writes servers/metrics-0: " + serverEntry(other));
+            putItem(deployment.store, "servers/metrics-0", serverEntry(other));
         }
+        std::this_thread::sleep_for(watched);
+        const std::lock_guard guard(watch.lock);
+        breaches = watch.breaches.size();
     }
     record(std::to_string(breaches) + " breaches");
     std::cout << breaches << " breaches of OWNER" << std::endl;
--- a/review/3/scene.cpp
+++ b/review/3/scene.cpp
@@ -1,5 +1,4 @@
-// Servers send second copies of some answers late, where the next answer on the connection is
-// expected, while an operator empties zones in turn.
+// A server of a keyed service crashes and starts again under its id.
 #include "stand/site.h"
 
 #include <iostream>
@@ -8,31 +7,13 @@
 
 namespace {
 
-// The limits of the site's entry for late second answers: of the servers, of their answers, and the
-// length.
-constexpr double troubledShare = 0.6;
-constexpr double copiedShare = 0.03;
-constexpr auto troubleFor = std::chrono::milliseconds(5000);
-
-constexpr int rounds = 18;
-constexpr auto calmBefore = std::chrono::milliseconds(2000);
-constexpr auto troubleAhead = std::chrono::milliseconds(1000);
-constexpr auto calmBetween = std::chrono::milliseconds(500);
-constexpr double requestsPerSecond = 250;
-
-std::atomic<bool> inTrouble = false;
-
-// Sends the last answer of the connection once more before the request is handled.
-auto repeatLastAnswer(server &self, server_connection &connection, const std::string &path) -> bool
-{
-    thread_local std::mt19937_64 random{std::random_device{}()};
-    const auto drawn = std::uniform_real_distribution<>(0, 1)(random) < copiedShare;
-    if (!inTrouble || connection.lastAnswer.empty() || !drawn)
-        return true;
-    record(self.options.id + " repeats its last answer, where the answer to " + path
-           + " is expected");
-    return sendAll(connection.socket, connection.lastAnswer);
-}
+constexpr auto calmBefore = std::chrono::seconds(4);
+constexpr int crashes = 6;
+constexpr auto down = std::chrono::milliseconds(1000);
+constexpr auto calmAfter = std::chrono::seconds(13);
+// A server writes to the store about every heartbeat, so first within this time.
+constexpr int heartbeatMs = 1500;
+constexpr double requestsPerSecond = 100;
 
 auto deploymentOptions() -> site_options
 {
@@ -40,8 +21,7 @@
     options.zones = {"sued-a", "sued-b", "sued-c"};
     for (int index = 0; index < 12; ++index) {
         const auto &zone = options.zones[static_cast<std::size_t>(index) % options.zones.size()];
-        options.servers.push_back({"i-board-" + std::to_string(index), "board", zone, true, 6, 24,
-                                   std::chrono::milliseconds(220)});
+        options.servers.push_back({"i-board-" + std::to_string(index), "board", zone, true});
     }
     return options;
 }
@@ -51,29 +31,23 @@
 auto main() -> int
 {
     openRecord(std::string(std::getenv("CASE_FOLDER")) + "/record.txt");
-    const auto options = deploymentOptions();
-    site deployment(options);
-    const auto troubled = static_cast<std::size_t>(troubledShare * deployment.servers.size());
-    for (std::size_t index = 0; index < troubled; ++index)
-        deployment.servers[index]->hook = repeatLastAnswer;
+    site deployment(deploymentOptions());
     awaitServing(deployment);
     record("all keys are held");
     std::size_t breaches = 0;
     {
         load callers(deployment, requestsPerSecond, "/board/1");
         owner_watch watch(deployment);
+        std::mt19937 random{std::random_device{}()};
         std::this_thread::sleep_for(calmBefore);
-        for (int round = 0; round < rounds && breaches == 0; ++round) {
-            const auto zone = options.zones[static_cast<std::size_t>(round) % options.zones.size()];
-            inTrouble = !isOff("TROUBLE");
-            std::this_thread::sleep_for(troubleAhead);
-            record("the operator empties " + zone);
-            putItem(deployment.store, "op/evacuate/" + zone, "{}");
-            std::this_thread::sleep_for(troubleFor - troubleAhead);
-            inTrouble = false;
-            std::this_thread::sleep_for(calmBetween);
-            record("the operator takes " + zone + " back");
-            putItem(deployment.store, "op/evacuate/" + zone, "");
+        for (std::size_t round = 0; round < crashes && breaches == 0; ++round) {
+            if (!isOff("TROUBLE")) {
+                crashServer(*deployment.servers[round]);
+                std::this_thread::sleep_for(down);
+                restartServer(deployment, round,
+                              std::chrono::milliseconds(random() % heartbeatMs));
+            }
+            std::this_thread::sleep_for(calmAfter);
             const std::lock_guard guard(watch.lock);
             breaches = watch.breaches.size();
         }
--- a/review/stand/site.cpp
+++ b/review/stand/site.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <netinet/tcp.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -28,6 +29,8 @@
 std::ofstream recordFile;
 const auto startOfRun = std::chrono::steady_clock::now();
 grant_observer grantObserver;
+std::mutex runsLock;
+std::map<std::string, int> runCounts;
 
 auto toText(const endpoint &address) -> std::string
 {
@@ -235,6 +238,10 @@
     record(self.options.id + " begins " + id + " for key " + std::to_string(key));
     const auto begun = monotonicNow();
     guard.unlock();
+    {
+        const std::lock_guard counting(runsLock);
+        ++runCounts[id];
+    }
     std::this_thread::sleep_for(self.options.work);
     guard.lock();
     const auto expired = self.options.keyed && self.grantEnds[key] < begun + self.options.work
@@ -479,14 +486,14 @@
     grantObserver = std::move(observer);
 }
 
-auto serverEntry(const server &entry) -> std::string
+auto serverEntry(const server &entry, int warmupLeftMs) -> std::string
 {
     const auto &options = entry.options;
     return R"({"service":")" + options.service + R"(","address":")" + toText(entry.address)
             + R"(","zone":")" + options.zone + R"(","version":"v1","slots":)"
             + std::to_string(options.slots)
-            + R"(,"state":"ready","warmup_left_ms":0,"seq":1,"born":)" + std::to_string(entry.born)
-            + "}";
+            + R"(,"state":"ready","warmup_left_ms":)" + std::to_string(warmupLeftMs)
+            + R"(,"seq":1,"born":)" + std::to_string(entry.born) + "}";
 }
 
 auto startHost(host &started) -> void
@@ -543,7 +550,7 @@
         startServer(servers.back());
         putItem(store, "servers/" + server.id, serverEntry(*servers.back()));
     }
-    for (int index = 0; index < options.hosts; ++index) {
+    for (int index = 0; index < options.hosts + options.spareHosts; ++index) {
         const auto ports = freePorts(4);
         const auto zone = options.zones[static_cast<std::size_t>(index) % options.zones.size()];
         host entry{"edge-" + zone + "-" + std::to_string(index), zone, ports[0], ports[1], {}, {}};
@@ -551,7 +558,8 @@
         entry.outputPath = directory + "/" + entry.name + ".out";
         std::ofstream(entry.settingsPath) << settingsOf(entry, ports, storeAddress);
         hosts.push_back(entry);
-        startHost(hosts.back());
+        if (index < options.hosts)
+            startHost(hosts.back());
     }
 }
 
@@ -595,9 +603,36 @@
     }
     std::this_thread::sleep_for(entryDelay);
     record(started->options.id + " writes its entry");
+    constexpr int warmupMs = 3000;
+    putItem(deployment.store, "servers/" + started->options.id,
+            serverEntry(*started, warmupMs));
+}
+
+auto restartElsewhere(site &deployment, std::size_t index, const std::string &suffix) -> void
+{
+    const auto before = listServers(deployment)[index];
+    const auto started = std::make_shared<server>();
+    started->options = before->options;
+    started->options.id += "-" + suffix;
+    started->hook = before->hook;
+    started->listener = listenOnFreePort(started->address);
+    startServer(started);
+    {
+        // Servers that drain stay in the list.
+        const std::lock_guard guard(deployment.lock);
+        deployment.servers.push_back(before);
+        deployment.servers[index] = started;
+    }
     putItem(deployment.store, "servers/" + started->options.id, serverEntry(*started));
 }
 
+auto runsOf(const std::string &id) -> int
+{
+    const std::lock_guard guard(runsLock);
+    const auto found = runCounts.find(id);
+    return found == runCounts.end() ? 0 : found->second;
+}
+
 auto finish(site &deployment, int code) -> void
 {
     for (auto &entry : deployment.hosts)
@@ -614,7 +649,7 @@
 {
     const auto isServing = [&] {
         return std::all_of(deployment.hosts.begin(), deployment.hosts.end(),
-                           [](const auto &entry) { return isReady(entry); })
+                           [](const auto &entry) { return entry.process == 0 || isReady(entry); })
                 && countHeldKeys(deployment) >= keyCount;
     };
     for (int tries = 0; tries < 300; ++tries) {
@@ -652,8 +687,9 @@
     text += "\r\n";
     std::string buffer;
     message read;
-    if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
-        && sendAll(socket, text) && readMessage(socket, buffer, read)) {
+    if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0)
+        answer.status = -1;
+    else if (sendAll(socket, text) && readMessage(socket, buffer, read)) {
         answer.status = std::atoi(read.head.substr(read.head.find(' ') + 1, 3).c_str());
         answer.body = read.body;
     }
@@ -677,12 +713,14 @@
                 request.id = "c" + std::to_string(caller) + "-" + std::to_string(number);
                 request.key = random() % keyCount;
                 const auto &entry = deployment.hosts[random() % deployment.hosts.size()];
+                if (entry.process == 0)
+                    continue;
                 ++sent;
                 const auto answer = callHost(entry, request);
                 succeeded += answer.status == 200 ? 1 : 0;
                 record("caller sent " + request.id + " for key " + std::to_string(*request.key)
                        + " to " + entry.name + ", answered "
-                       + (answer.status == 0 ? "nothing" : std::to_string(answer.status)));
+                       + (answer.status <= 0 ? "nothing" : std::to_string(answer.status)));
             }
         });
     }
--- a/review/stand/site.h
+++ b/review/stand/site.h
@@ -87,6 +87,7 @@
     int waiting = 0;
     std::set<int> connections;
     bool crashed = false;
+    std::atomic<bool> draining = false;
 };
 
 struct host
@@ -105,6 +106,8 @@
     std::vector<server_options> servers;
     std::vector<std::string> zones;
     int hosts = 10;
+    // Hosts that are started later.
+    int spareHosts = 0;
 };
 
 struct site
@@ -133,16 +136,23 @@
 auto crashServer(server &ended) -> void;
 
 // Starts a server again under its id and at its address, as a new incarnation that knows nothing of
-// before. It serves at once and writes its entry after the delay.
+// before and is cold. It serves at once and writes its entry after the delay.
 auto restartServer(site &deployment, std::size_t index, std::chrono::milliseconds entryDelay)
         -> void;
 
+// Starts a server under a new id, at another address, in the place of one that has ended.
+auto restartElsewhere(site &deployment, std::size_t index, const std::string &suffix) -> void;
+
+// How often the servers began to work on a request.
+auto runsOf(const std::string &id) -> int;
+
 // Kills the hosts and ends this process.
 [[noreturn]] auto finish(site &deployment, int code) -> void;
 
-auto serverEntry(const server &entry) -> std::string;
+// The entry of a server in the store, with how long it remains cold.
+auto serverEntry(const server &entry, int warmupLeftMs = 0) -> std::string;
 
-// Waits until all hosts are ready and each key of the keyed service is held. Gives up otherwise.
+// Waits until all hosts that were started are ready and each key of the keyed service is held. Gives up otherwise.
 auto awaitServing(site &deployment) -> void;
 
 // The name of the leading host, as the store has it, or an empty string.
@@ -159,7 +169,7 @@
 
 struct caller_answer
 {
-    // 0 when the connection ended without an answer.
+    // 0 when the connection ended without an answer, -1 when there was none.
     int status = 0;
     std::string body;
 };
