--- a/review/1/scene.cpp
+++ b/review/1/scene.cc
@@ -1,6 +1,6 @@
-// A young deployment: the store is away for a moment and comes back from a copy of before the hosts'
-// first table of owners. Meanwhile hosts are added.
-#include "stand/site.h"
+// A young deployment: the store is away for a moment and comes back from a copy of before the
+// hosts' first table of owners. Meanwhile hosts are added.
+#include "stand/site.hh"
 
 #include <iostream>
 
--- a/review/2/scene.cpp
+++ b/review/2/scene.cc
@@ -1,6 +1,6 @@
-// An entry of another writer names a service that the configuration doesn't name, and the address of
-// a server that holds keys.
-#include "stand/site.h"
+// An entry of another writer names a service that the configuration doesn't name, and the address
+// of a server that holds keys.
+#include "stand/site.hh"
 
 #include <iostream>
 
--- a/review/3/scene.cpp
+++ b/review/3/scene.cc
@@ -1,5 +1,6 @@
-// A server of a keyed service crashes and starts again under its id.
-#include "stand/site.h"
+// A server of a keyed service is cut off from the store, crashes behind the cut and starts again under
+// its id. Its entry is written when the cut has healed.
+#include "stand/site.hh"
 
 #include <iostream>
 
@@ -8,11 +9,12 @@
 namespace {
 
 constexpr auto calmBefore = std::chrono::seconds(4);
-constexpr int crashes = 6;
-constexpr auto down = std::chrono::milliseconds(1000);
+constexpr int cuts = 5;
+// The server cannot reach the store for this long. It crashes meanwhile and starts again.
+constexpr auto cutFor = std::chrono::milliseconds(3000);
+constexpr auto crashAfter = std::chrono::milliseconds(300);
+constexpr auto down = std::chrono::milliseconds(700);
 constexpr auto calmAfter = std::chrono::seconds(13);
-// A server writes to the store about every heartbeat, so first within this time.
-constexpr int heartbeatMs = 1500;
 constexpr double requestsPerSecond = 100;
 
 auto deploymentOptions() -> site_options
@@ -38,14 +40,14 @@
     {
         load callers(deployment, requestsPerSecond, "/board/1");
         owner_watch watch(deployment);
-        std::mt19937 random{std::random_device{}()};
         std::this_thread::sleep_for(calmBefore);
-        for (std::size_t round = 0; round < crashes && breaches == 0; ++round) {
+        for (std::size_t round = 0; round < cuts && breaches == 0; ++round) {
             if (!isOff("TROUBLE")) {
+                record(deployment.servers[round]->options.id + " is cut off from the store");
+                std::this_thread::sleep_for(crashAfter);
                 crashServer(*deployment.servers[round]);
                 std::this_thread::sleep_for(down);
-                restartServer(deployment, round,
-                              std::chrono::milliseconds(random() % heartbeatMs));
+                restartServer(deployment, round, cutFor - crashAfter - down);
             }
             std::this_thread::sleep_for(calmAfter);
             const std::lock_guard guard(watch.lock);
--- a/review/soak/scene.cpp
+++ b/review/soak/scene.cc
@@ -1,6 +1,6 @@
-// Random disruptions of hosts, servers and the store, one after the other or at once, with checks of
-// MIXED, TWICE, REFUSED, LOST and OWNER. SEED chooses them. Not a case: what was tried.
-#include "stand/site.h"
+// Random disruptions of hosts, servers and the store, one after the other or at once, with checks
+// of MIXED, TWICE, REFUSED, LOST and OWNER. SEED chooses them. Not a case: what was tried.
+#include "stand/site.hh"
 
 #include <csignal>
 #include <iostream>
@@ -46,7 +46,8 @@
 {
     const auto order = path == "/grant" || path == "/release";
     // Late second answers to orders are case 3.
-    if (!order && draw() < copyShare && connection.lastAnswer.find("X-Request-Id") != std::string::npos)
+    if (!order && draw() < copyShare
+        && connection.lastAnswer.find("X-Request-Id") != std::string::npos)
         return sendAll(connection.socket, connection.lastAnswer);
     if (draw() < resetShare)
         return false;
@@ -104,7 +105,8 @@
         callers.emplace_back([&, caller] {
             std::mt19937 own(seed * 1000 + static_cast<unsigned>(caller));
             for (int number = 0; !stopping; ++number) {
-                sendOne(deployment, "c" + std::to_string(caller) + "-" + std::to_string(number), own);
+                sendOne(deployment, "c" + std::to_string(caller) + "-" + std::to_string(number),
+                        own);
                 std::this_thread::sleep_for(std::chrono::milliseconds(own() % 120));
             }
         });
@@ -160,7 +162,10 @@
             excuse(entry, now + 8);
             busy.insert(entry.name);
             killHost(entry);
-            after(0.7, [&] { startHost(entry); busy.erase(entry.name); });
+            after(0.7, [&] {
+                startHost(entry);
+                busy.erase(entry.name);
+            });
             break;
         case 1:
         case 2:
@@ -168,7 +173,11 @@
             excuse(entry, now + time + 4);
             busy.insert(entry.name);
             ::kill(entry.process, SIGSTOP);
-            after(time, [&] { ::kill(entry.process, SIGCONT); record("continue " + entry.name); busy.erase(entry.name); });
+            after(time, [&] {
+                ::kill(entry.process, SIGCONT);
+                record("continue " + entry.name);
+                busy.erase(entry.name);
+            });
             break;
         case 3:
             record("term " + entry.name);
@@ -178,7 +187,11 @@
             }
             busy.insert(entry.name);
             ::kill(entry.process, SIGTERM);
-            after(6.0, [&] { killHost(entry); startHost(entry); busy.erase(entry.name); });
+            after(6.0, [&] {
+                killHost(entry);
+                startHost(entry);
+                busy.erase(entry.name);
+            });
             break;
         case 4:
             copyShare = 0.03;
@@ -201,7 +214,11 @@
             storeBusy = true;
             record("store away for " + std::to_string(time));
             setStoreFaults(deployment.store, {random() % 2 == 0, true, random() % 3 == 0});
-            after(time, [&] { setStoreFaults(deployment.store, {}); record("store back"); storeBusy = false; });
+            after(time, [&] {
+                setStoreFaults(deployment.store, {});
+                record("store back");
+                storeBusy = false;
+            });
             break;
         case 9:
             compactHistory(deployment.store);
@@ -213,8 +230,11 @@
             if (before->crashed)
                 break;
             crashServer(*before);
-            after(3.0, [&, before] { putItem(deployment.store, "servers/" + before->options.id, ""); });
-            after(1.0, [&, index, before] { restartElsewhere(deployment, index, "n" + std::to_string(++crashes)); });
+            after(3.0,
+                  [&, before] { putItem(deployment.store, "servers/" + before->options.id, ""); });
+            after(1.0, [&, index, before] {
+                restartElsewhere(deployment, index, "n" + std::to_string(++crashes));
+            });
             break;
         }
         case 11: {
@@ -228,8 +248,13 @@
             text.replace(text.find("\"seq\":1"), 7, "\"seq\":2");
             record("drain " + leaving->options.id);
             putItem(deployment.store, "servers/" + leaving->options.id, text);
-            after(3.5, [&, leaving] { crashServer(*leaving); putItem(deployment.store, "servers/" + leaving->options.id, ""); });
-            after(1.0, [&, index] { restartElsewhere(deployment, index, "n" + std::to_string(++crashes)); });
+            after(3.5, [&, leaving] {
+                crashServer(*leaving);
+                putItem(deployment.store, "servers/" + leaving->options.id, "");
+            });
+            after(1.0, [&, index] {
+                restartElsewhere(deployment, index, "n" + std::to_string(++crashes));
+            });
             break;
         }
         default:
@@ -237,7 +262,10 @@
                 break;
             storeBusy = true;
             copies.push_back(copyStore(deployment.store));
-            after(4.0, [&] { record("store away for a drill"); setStoreFaults(deployment.store, {.unavailable = true}); });
+            after(4.0, [&] {
+                record("store away for a drill");
+                setStoreFaults(deployment.store, {.unavailable = true});
+            });
             after(5.0, [&] {
                 restoreStore(deployment.store, copies.back());
                 setStoreFaults(deployment.store, {});
@@ -261,8 +289,8 @@
         ++counts["status " + std::to_string(attempt.status)];
         if (!attempt.safe && ran > 1)
             record("BREACH TWICE " + id), ++counts["TWICE"];
-        const auto promised = attempt.status == 503 || attempt.status == 429 || attempt.status == 408
-                || attempt.status == 421;
+        const auto promised = attempt.status == 503 || attempt.status == 429
+                || attempt.status == 408 || attempt.status == 421;
         if (!attempt.safe && promised && ran > 0)
             record("BREACH REFUSED " + id), ++counts["REFUSED"];
         if (attempt.wrongBody)
--- a/review/stand/site.cpp
+++ b/review/stand/site.cc
@@ -1,5 +1,5 @@
 // A small deployment for the scripts of this review.
-#include "stand/site.h"
+#include "stand/site.hh"
 
 #include "codec/json.h"
 #include "generated/site.pb.h"
@@ -158,7 +158,8 @@
 auto grantKeys(server &self, const message &request) -> server_answer
 {
     wire::KeyGrant grant;
-    if (!readLenientJson(request.body, grant) || grant.to() >= keyCount || grant.from() > grant.to())
+    if (!readLenientJson(request.body, grant) || grant.to() >= keyCount
+        || grant.from() > grant.to())
         return {400, {}, {}};
     const auto fence = static_cast<std::uint64_t>(grant.fence());
     const auto range = std::to_string(grant.from()) + "-" + std::to_string(grant.to());
@@ -406,9 +407,10 @@
             ++shared;
         }
         if (shared > 0)
-            addBreach(watch, "OWNER: " + holder[first] + " and " + second[first]
-                              + " have held key " + std::to_string(first) + " and "
-                              + std::to_string(shared - 1) + " more for over half a second");
+            addBreach(watch,
+                      "OWNER: " + holder[first] + " and " + second[first] + " have held key "
+                              + std::to_string(first) + " and " + std::to_string(shared - 1)
+                              + " more for over half a second");
     }
 }
 
@@ -424,8 +426,7 @@
         {
             const std::lock_guard guard(other->lock);
             for (const auto &one : other->running) {
-                if (one.key >= from && one.key <= to
-                    && other->grantEnds[one.key] > monotonicNow())
+                if (one.key >= from && one.key <= to && other->grantEnds[one.key] > monotonicNow())
                     found = "key " + std::to_string(one.key) + ", on which " + other->options.id
                             + " still works for " + one.id;
             }
@@ -491,9 +492,9 @@
     const auto &options = entry.options;
     return R"({"service":")" + options.service + R"(","address":")" + toText(entry.address)
             + R"(","zone":")" + options.zone + R"(","version":"v1","slots":)"
-            + std::to_string(options.slots)
-            + R"(,"state":"ready","warmup_left_ms":)" + std::to_string(warmupLeftMs)
-            + R"(,"seq":1,"born":)" + std::to_string(entry.born) + "}";
+            + std::to_string(options.slots) + R"(,"state":"ready","warmup_left_ms":)"
+            + std::to_string(warmupLeftMs) + R"(,"seq":1,"born":)" + std::to_string(entry.born)
+            + "}";
 }
 
 auto startHost(host &started) -> void
@@ -603,9 +604,10 @@
     }
     std::this_thread::sleep_for(entryDelay);
     record(started->options.id + " writes its entry");
-    constexpr int warmupMs = 3000;
-    putItem(deployment.store, "servers/" + started->options.id,
-            serverEntry(*started, warmupMs));
+    // It remains cold for 3 s after its start.
+    constexpr std::chrono::milliseconds warmup(3000);
+    const auto left = std::max(warmup - entryDelay, std::chrono::milliseconds(0));
+    putItem(deployment.store, "servers/" + started->options.id, serverEntry(*started, static_cast<int>(left.count())));
 }
 
 auto restartElsewhere(site &deployment, std::size_t index, const std::string &suffix) -> void
@@ -703,8 +705,10 @@
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([this, &deployment, perSecond, path, caller] {
             std::mt19937 random(static_cast<unsigned>(caller));
-            const std::chrono::nanoseconds period(static_cast<std::int64_t>(callers * 1e9 / perSecond));
-            auto next = std::chrono::steady_clock::now() + period / 1000 * static_cast<std::int64_t>(random() % 1000);
+            const std::chrono::nanoseconds period(
+                    static_cast<std::int64_t>(callers * 1e9 / perSecond));
+            auto next = std::chrono::steady_clock::now()
+                    + period / 1000 * static_cast<std::int64_t>(random() % 1000);
             for (int number = 0; !stopping; ++number) {
                 std::this_thread::sleep_until(next);
                 next = std::max(next + period, std::chrono::steady_clock::now());
--- a/review/stand/site.h
+++ b/review/stand/site.hh
@@ -1,6 +1,6 @@
-// A small deployment for the scripts of this review: the store and the backend servers are stand-ins
-// in this process, the entry hosts are processes of the built program. All addresses are loopback
-// addresses on free ports.
+// A small deployment for the scripts of this review: the store and the backend servers are
+// stand-ins in this process, the entry hosts are processes of the built program. All addresses are
+// loopback addresses on free ports.
 #pragma once
 
 #include "lab/store_stand_in.h"
@@ -74,7 +74,6 @@
     std::int64_t born = 0;
     int listener = -1;
     request_hook hook;
-    std::thread acceptor;
 
     std::mutex lock;
     std::condition_variable changed;
@@ -152,7 +151,8 @@
 // The entry of a server in the store, with how long it remains cold.
 auto serverEntry(const server &entry, int warmupLeftMs = 0) -> std::string;
 
-// Waits until all hosts that were started are ready and each key of the keyed service is held. Gives up otherwise.
+// Waits until all hosts that were started are ready and each key of the keyed service is held.
+// Gives up otherwise.
 auto awaitServing(site &deployment) -> void;
 
 // The name of the leading host, as the store has it, or an empty string.
