--- a/review/stand/site.cc
+++ b/review/stand/site.cc
@@ -11,7 +11,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <map>
 #include <netinet/tcp.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -29,8 +28,6 @@
 std::ofstream recordFile;
 const auto startOfRun = std::chrono::steady_clock::now();
 grant_observer grantObserver;
-std::mutex runsLock;
-std::map<std::string, int> runCounts;
 
 auto toText(const endpoint &address) -> std::string
 {
@@ -239,10 +236,6 @@
     record(self.options.id + " begins " + id + " for key " + std::to_string(key));
     const auto begun = monotonicNow();
     guard.unlock();
-    {
-        const std::lock_guard counting(runsLock);
-        ++runCounts[id];
-    }
     std::this_thread::sleep_for(self.options.work);
     guard.lock();
     const auto expired = self.options.keyed && self.grantEnds[key] < begun + self.options.work
@@ -607,32 +600,8 @@
     // It remains cold for 3 s after its start.
     constexpr std::chrono::milliseconds warmup(3000);
     const auto left = std::max(warmup - entryDelay, std::chrono::milliseconds(0));
-    putItem(deployment.store, "servers/" + started->options.id, serverEntry(*started, static_cast<int>(left.count())));
-}
-
-auto restartElsewhere(site &deployment, std::size_t index, const std::string &suffix) -> void
-{
-    const auto before = listServers(deployment)[index];
-    const auto started = std::make_shared<server>();
-    started->options = before->options;
-    started->options.id += "-" + suffix;
-    started->hook = before->hook;
-    started->listener = listenOnFreePort(started->address);
-    startServer(started);
-    {
-        // Servers that drain stay in the list.
-        const std::lock_guard guard(deployment.lock);
-        deployment.servers.push_back(before);
-        deployment.servers[index] = started;
-    }
-    putItem(deployment.store, "servers/" + started->options.id, serverEntry(*started));
-}
-
-auto runsOf(const std::string &id) -> int
-{
-    const std::lock_guard guard(runsLock);
-    const auto found = runCounts.find(id);
-    return found == runCounts.end() ? 0 : found->second;
+    putItem(deployment.store, "servers/" + started->options.id,
+            serverEntry(*started, static_cast<int>(left.count())));
 }
 
 auto finish(site &deployment, int code) -> void
--- a/review/stand/site.hh
+++ b/review/stand/site.hh
@@ -86,7 +86,6 @@
     int waiting = 0;
     std::set<int> connections;
     bool crashed = false;
-    std::atomic<bool> draining = false;
 };
 
 struct host
@@ -139,12 +138,6 @@
 auto restartServer(site &deployment, std::size_t index, std::chrono::milliseconds entryDelay)
         -> void;
 
-// Starts a server under a new id, at another address, in the place of one that has ended.
-auto restartElsewhere(site &deployment, std::size_t index, const std::string &suffix) -> void;
-
-// How often the servers began to work on a request.
-auto runsOf(const std::string &id) -> int;
-
 // Kills the hosts and ends this process.
 [[noreturn]] auto finish(site &deployment, int code) -> void;
 
