--- a/review/2/scene.cc
+++ b/review/2/scene.cc
@@ -28,9 +28,9 @@
 
 } // namespace
 
-auto main() -> int
+auto main(int count, char **values) -> int
 {
-    openRecord(std::string(std::getenv("CASE_FOLDER")) + "/record.txt");
+    openRecord(count > 1 ? values[1] : "record.txt");
     site deployment(deploymentOptions());
     awaitServing(deployment);
     record("all keys are held");
