--- a/review/3/scene.cc
+++ b/review/3/scene.cc
@@ -1,5 +1,5 @@
-// A server of a keyed service is cut off from the store, crashes behind the cut and starts again under
-// its id. Its entry is written when the cut has healed.
+// A server of a keyed service is cut off from the store, crashes behind the cut and starts again
+// under its id. Its entry is written when the cut has healed.
 #include "stand/site.hh"
 
 #include <iostream>
@@ -30,9 +30,9 @@
 
 } // namespace
 
-auto main() -> int
+auto main(int count, char **values) -> int
 {
-    openRecord(std::string(std::getenv("CASE_FOLDER")) + "/record.txt");
+    openRecord(count > 1 ? values[1] : "record.txt");
     site deployment(deploymentOptions());
     awaitServing(deployment);
     record("all keys are held");
