Wait for lost grants before a first table of owners

Cause: a leader that found no table took the deployment for a new one. Hosts that had started while the store was away knew neither a table nor an earlier era, claimed leadership before the hosts that had followed the table, and made a first one after 0.7 s.

Ruled out: the table of a host that followed it is not lost (the follower's table is stored again, as before); the fences were not at fault (those of the new era are higher, so both grants were accepted).

Change: an absent table shows that nobody holds the keys only if no earlier era can have had one. Otherwise the first table waits until grants of the earlier era have expired.

The seeded model lets new hosts lead without a table too; [ownership] passes.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -425,6 +425,12 @@
     return manager;
 }
 
+auto awaitLostGrants(ownership_manager &manager, instant previousLeaderEnds) -> void
+{
+    manager.balanceFrom =
+            std::max(manager.balanceFrom, previousLeaderEnds + longestHold(manager.limits));
+}
+
 auto dueOrders(ownership_manager &manager, const server_directory &directory, renewal_pace pace,
                instant now) -> std::vector<key_order>
 {
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -226,6 +226,11 @@
                              store_position leaderRevision, lost_decisions lost,
                              instant previousLeaderEnds, instant now) -> ownership_manager;
 
+// For a manager without a table, when an earlier era of the store may have had one. Servers may
+// hold keys by grants that were sent until previousLeaderEnds: the first table is created when
+// these have expired.
+auto awaitLostGrants(ownership_manager &manager, instant previousLeaderEnds) -> void;
+
 // How soon grants are renewed: regularly, or early because the leader may have to stop.
 enum class renewal_pace { Steady, BeforeStopping };
 
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -153,6 +153,8 @@
     // The key may have changed since it was read in an earlier era.
     if (leader.position.revision != 0 && leader.position.era < era)
         return false;
+    if (members.lastClaim.position.revision == 0 && monotonicNow() < members.firstClaimFrom)
+        return false;
     const auto rank = leadershipRank(members.hosts, self);
     const auto restored = members.lastClaim.position.revision != 0 && members.lastClaim.era < era;
     if (restored)
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -59,13 +59,23 @@
     const auto now = monotonicNow();
     const auto limits = ownershipLimits(router);
     auto lost = lost_decisions::None;
+    std::optional<instant> earlierEraUntil;
+    {
+        const std::lock_guard guard(router.updateSync.lock);
+        earlierEraUntil = router.updateSync.earlierEraUntil;
+    }
     if (stored.leaderRevision.era < leaderRevision.era) {
         stored = chooseLatestTable(router, std::move(stored));
         const std::lock_guard guard(router.updateSync.lock);
         lost = lostDecisionsFor(limits, now - router.updateSync.ownersCurrentAt);
     }
-    const auto isComplete = lost == lost_decisions::None && stored.lost == lost_decisions::None;
-    if (stored.slices.empty() || isComplete)
+    if (stored.slices.empty()) {
+        auto manager = makeOwnershipManager(limits, std::move(stored), leaderRevision, now);
+        if (earlierEraUntil)
+            awaitLostGrants(manager, *earlierEraUntil + candidateLeaseLength());
+        return manager;
+    }
+    if (lost == lost_decisions::None && stored.lost == lost_decisions::None)
         return makeOwnershipManager(limits, std::move(stored), leaderRevision, now);
     return recoverOwnershipManager(limits, std::move(stored), leaderRevision, lost,
                                    now + candidateLeaseLength(), now);
--- a/router/router.h
+++ b/router/router.h
@@ -96,6 +96,9 @@
     // When this host last saw the leader's key change. The delay before this host claims leadership
     // counts from then.
     instant leaderlessSince{};
+    // A host that knows of no claim makes none before this, so that hosts that followed the store
+    // in an earlier era precede it.
+    instant firstClaimFrom{};
 };
 
 struct permit_answer
@@ -169,6 +172,9 @@
     // When this host last had the latest tables of owners: from the leader, from the store, or
     // because it led.
     instant ownersCurrentAt{};
+    // An earlier era of the store may have lasted until then, with tables that the present one
+    // lacks. Empty when this host knows that there was none.
+    std::optional<instant> earlierEraUntil;
     // The host that sent the last updates, or empty.
     host_id source;
     // When this host's source was last current.
@@ -260,6 +266,8 @@
 {
     settings_table settings;
     std::string settingsPath;
+    // Not changed after the start.
+    instant startedAt{};
     member_host self;
 
     std::unique_ptr<worker_pool> workers;
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -196,6 +196,7 @@
 {
     auto router = std::make_unique<router_process>();
     router->settings.current = settings;
+    router->startedAt = monotonicNow();
     router->heldAnswerBytes = settings.held_answer_kb() * bytesPerKilobyte;
     const auto share = settings.size().cpu_share();
     router->self = {settings.host_id(), settings.failure_domain(), settings.peer_address(),
--- a/router/settings.cpp
+++ b/router/settings.cpp
@@ -43,6 +43,8 @@
 {
     if (settings.worker_threads() == 0)
         settings.set_worker_threads(1);
+    if (!settings.has_first_start())
+        settings.set_first_start(true);
     if (settings.held_answer_kb() == 0)
         settings.set_held_answer_kb(defaultHeldAnswerKb);
     if (settings.log_level().empty())
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -462,6 +462,27 @@
     CHECK(findOwnerBreaches() == std::set<std::string>());
 }
 
+// Guards against a second holder of most keys: the copy was of before the first table of owners,
+// and hosts that had just started took its absence for a new deployment.
+TEST_CASE_METHOD(restored_site, "keys_keep_one_owner_if_only_new_hosts_see_a_store_without_a_table")
+{
+    moveKeys("a", "ledger-b");
+    const auto copy = copyStore(*store);
+    setStoreFaults(*store, {.unavailable = true});
+    for (int host = 0; host < 2; ++host) {
+        killHost(host);
+        startRoutingHost(*this, host);
+    }
+    std::this_thread::sleep_for(2 * outage);
+    restore(copy, [&] {
+        for (const auto *key : {"parsleyloft/owners/ledger", "parsleyloft/live/leader"})
+            putItem(*store, key, "");
+    });
+    requestKeysFor(recoveryBound);
+    CHECK(isMetWithin(recoveryBound, [&] { return areKeysServed(0) && areKeysServed(1); }));
+    CHECK(findOwnerBreaches() == std::set<std::string>());
+}
+
 // Guards against fences and owners of the first return that are used again after the second.
 TEST_CASE_METHOD(restored_site, "keys_moved_between_two_restores_keep_one_owner")
 {
--- a/tests/support/ownership_model.cpp
+++ b/tests/support/ownership_model.cpp
@@ -101,6 +101,7 @@
     ownership_table stored;
     std::optional<pending_write> writing;
     store_era era = 1;
+    instant restoredAt{};
     // The stored tables with the times of their writes, and the tables that the hosts followed.
     std::vector<std::pair<instant, ownership_table>> storedSince;
     std::vector<std::pair<instant, ownership_table>> followedSince;
@@ -254,6 +255,7 @@
     std::erase_if(world.storedSince, [&](const auto &entry) { return entry.first > copiedAt; });
     world.writing.reset();
     ++world.era;
+    world.restoredAt = world.now;
     ++world.result.restores;
     if (!world.manager)
         return;
@@ -270,17 +272,21 @@
     auto table = world.stored;
     auto lost = lost_decisions::None;
     if (table.leaderRevision.era < world.era) {
-        // A host that has just started knows the stored table only. Where the copy has none either,
-        // such a host cannot know that keys were granted: this is not modelled.
-        const auto isNewHost = !table.slices.empty() && chance(world, 0.2);
+        // A host that has just started knows the stored table only, or none.
+        const auto isNewHost = chance(world, 0.2);
         const auto followed =
                 tableAt(world.followedSince, world.now - drawTime(world, 0ms, maxFollowerDelay));
         if (!isNewHost && isLater(followed, table))
             table = followed;
         lost = isNewHost ? lost_decisions::Any : lost_decisions::Recent;
     }
-    if (table.slices.empty()
-        || (lost == lost_decisions::None && table.lost == lost_decisions::None))
+    if (table.slices.empty()) {
+        auto manager = makeOwnershipManager(world.limits, table, claimed, world.now);
+        if (world.era > 1)
+            awaitLostGrants(manager, world.restoredAt + leaderLease);
+        return manager;
+    }
+    if (lost == lost_decisions::None && table.lost == lost_decisions::None)
         return makeOwnershipManager(world.limits, table, claimed, world.now);
     return recoverOwnershipManager(world.limits, table, claimed, lost, world.now + leaderLease,
                                    world.now);
