Let no entry end the owner at its address

Cause: the directory kept the latest start time for each address, from every entry, and took an owner for ended when another entry named its address with a later one. Neither the entry's writer nor the order of start times of different clocks (they may differ by seconds) supports that.

Ruled out: decodeServer alone. Refusing unknown services would leave the same conclusion to any entry that names a known one, and to a server whose predecessor at the address had a clock ahead of its own.

Change: only a later start of the same id supersedes an incarnation. That an owner has left its address is asked there: the release names the server, and what has the address now answers 421 (order_result::OtherServer), which ends the wait as soon as the address was given away. The same holds for the wait that callers are told of.

Two checks stated the old conclusion and state the new one, each as strict: another entry at the address does not supersede; the expected wait stays long, until the same id has started again.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -16,7 +16,7 @@
 
 auto hasEnded(const server_directory &directory, const key_owner &owner) -> bool
 {
-    return owner.id.empty() || isSuperseded(directory, owner.id, owner.startTimeMs, owner.address);
+    return owner.id.empty() || isSuperseded(directory, owner.id, owner.startTimeMs);
 }
 
 // True when the same incarnation of the owner is still listed and usable.
@@ -323,7 +323,8 @@
         return;
     state.orderInFlight = false;
     state.nextOrderAt = now + limits.retryAfter;
-    if (result != order_result::Done)
+    // A server that has ended holds no keys. What took its address has answered instead.
+    if (result != order_result::Done && result != order_result::OtherServer)
         return;
     state.released = true;
     state.handover = handover;
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -197,11 +197,20 @@
     std::string handover;
 };
 
-enum class order_result : std::uint8_t { Done, FenceTooLow, Refused, Unanswered, NotSent };
+enum class order_result : std::uint8_t {
+    Done,
+    FenceTooLow,
+    // Another server has the address.
+    OtherServer,
+    Refused,
+    Unanswered,
+    NotSent,
+};
 
-inline constexpr name_table<order_result, 5> orderResultNames{{
+inline constexpr name_table<order_result, 6> orderResultNames{{
         {order_result::Done, "done"},
         {order_result::FenceTooLow, "fence_too_low"},
+        {order_result::OtherServer, "other_server"},
         {order_result::Refused, "refused"},
         {order_result::Unanswered, "unanswered"},
         {order_result::NotSent, "not_sent"},
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -105,8 +105,6 @@
     if (latest > record.startTimeMs)
         return false;
     latest = record.startTimeMs;
-    auto &latestAtAddress = directory.latestStartByAddress[record.address];
-    latestAtAddress = std::max(latestAtAddress, record.startTimeMs);
     if (isReplaced(directory, record) || isRepeated(directory, record))
         return clearMissing(directory, record.id);
     if (isRemoved(directory, record)) {
@@ -225,14 +223,11 @@
     return entry.receivedAt + entry.record.warmupLeft;
 }
 
-auto isSuperseded(const server_directory &directory, const server_id &id, std::int64_t startTimeMs,
-                  const endpoint &address) -> bool
+auto isSuperseded(const server_directory &directory, const server_id &id, std::int64_t startTimeMs)
+        -> bool
 {
-    const auto byId = directory.latestStartById.find(id);
-    if (byId != directory.latestStartById.end() && byId->second > startTimeMs)
-        return true;
-    const auto byAddress = directory.latestStartByAddress.find(address);
-    return byAddress != directory.latestStartByAddress.end() && byAddress->second > startTimeMs;
+    const auto latest = directory.latestStartById.find(id);
+    return latest != directory.latestStartById.end() && latest->second > startTimeMs;
 }
 
 } // namespace parsleyloft
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -35,10 +35,9 @@
     // Entries of removed incarnations that an older copy of the store lists again. Their servers
     // have left, unless the store still lists them after confirmationTime.
     std::map<server_id, directory_entry> unconfirmed;
-    // The latest start time known for each id and address. Kept after an entry is removed, so that
-    // an ended incarnation is never accepted again.
+    // The latest start time known for each id. Kept after an entry is removed, so that an ended
+    // incarnation is never accepted again.
     std::map<server_id, std::int64_t> latestStartById;
-    std::map<endpoint, std::int64_t> latestStartByAddress;
     // The incarnations whose answers stated that they leave, by id. Kept after an entry is removed:
     // such an incarnation never becomes usable again, whatever its entry says.
     std::map<server_id, std::int64_t> leavingStartById;
@@ -101,9 +100,9 @@
 // The instant at which the server stops being cold.
 auto coldUntil(const directory_entry &entry) -> instant;
 
-// True when a later incarnation has replaced this one: the server was restarted with the same id,
-// or another server announced itself at the same address.
-auto isSuperseded(const server_directory &directory, const server_id &id, std::int64_t startTimeMs,
-                  const endpoint &address) -> bool;
+// True when the server was restarted with the same id. Another entry with its address shows
+// nothing: any writer can name an address, and the clocks that start times are taken from differ.
+auto isSuperseded(const server_directory &directory, const server_id &id, std::int64_t startTimeMs)
+        -> bool;
 
 } // namespace parsleyloft
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -180,6 +180,34 @@
     }
 }
 
+// Guards against a second holder: an entry of another writer with the address of an owner ended it.
+TEST_CASE_METHOD(manager_with_two_servers, "entry_with_the_address_of_an_owner_moves_no_keys",
+                 "[ownership]")
+{
+    recordServer(directory, {"metrics", "figures", first.address, "a", 3, false, 0us, 2000}, now);
+    CHECK_FALSE(planAndStore());
+    now += limits.renewAfter;
+    CHECK(orders().size() == 8);
+}
+
+TEST_CASE_METHOD(manager_with_two_servers,
+                 "owner_whose_address_another_server_has_is_replaced_without_a_wait", "[ownership]")
+{
+    recordServerRemoved(directory, "s1", now);
+    planAndStore();
+    for (const auto &order : orders()) {
+        CHECK(order.kind == order_kind::Release);
+        CHECK(order.server.id == "s1");
+        recordOrderResult(manager, order, order_result::OtherServer, {}, now);
+    }
+    const auto grants = orders();
+    CHECK(grants.size() == 4);
+    for (const auto &order : grants) {
+        CHECK(order.kind == order_kind::Grant);
+        CHECK(order.server.id == "s2");
+    }
+}
+
 TEST_CASE_METHOD(manager_with_two_servers, "release_rejects_a_renewal_that_it_overtakes",
                  "[ownership]")
 {
@@ -280,7 +308,11 @@
     CHECK(expectedOwnerWait(*findSlice(manager.table, key), directory) == owner_wait::Short);
     recordServerRemoved(directory, "s1", now);
     CHECK(expectedOwnerWait(*findSlice(manager.table, key), directory) == owner_wait::Long);
+    // Its address alone does not show that it has ended.
     recordServer(directory, {"s3", "ledger", first.address, "a", 3, false, 0us, 5000}, now);
+    CHECK(expectedOwnerWait(*findSlice(manager.table, key), directory) == owner_wait::Long);
+    first.startTimeMs = 6000;
+    recordServer(directory, first, now);
     CHECK(expectedOwnerWait(*findSlice(manager.table, key), directory) == owner_wait::Short);
 }
 
