Release keys from a server that has started again

Cause: a later start of the same id counted as proof that nobody held the keys. It proves that for the incarnation before; renewals go by address and id, so the next one may have taken any sent since.

Ruled out: stopping renewals when one fails (the new process takes the first that reaches it); refusing them by fence (a server that has just started knows none).

Change: the owner before stays the owner before.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -14,11 +14,23 @@
     return found == directory.entries.end() ? nullptr : &found->second;
 }
 
+// True when there is no owner, or its server has started again.
 auto hasEnded(const server_directory &directory, const key_owner &owner) -> bool
 {
     return owner.id.empty() || isSuperseded(directory, owner.id, owner.startTimeMs);
 }
 
+// The latest incarnation of the owner's server.
+auto latestIncarnation(const server_directory &directory, key_owner owner) -> key_owner
+{
+    if (hasEnded(directory, owner) && !owner.id.empty()) {
+        const auto &latest = directory.latestById.at(owner.id);
+        owner.startTimeMs = latest.startTimeMs;
+        owner.address = latest.address;
+    }
+    return owner;
+}
+
 // True when the same incarnation of the owner is still listed and usable.
 auto mayOwn(const server_directory &directory, const key_owner &owner) -> bool
 {
@@ -27,13 +39,13 @@
             && isUsable(directory, *entry);
 }
 
-// True when the previous owner can no longer hold the keys of a pending slice.
-auto isPreviousOwnerDone(const key_slice &slice, const slice_state &state,
-                         const server_directory &directory, instant now) -> bool
+// True when the previous owner can no longer hold the keys of a pending slice: see "What a leader
+// may conclude about a holder" in docs/PLATFORM.md.
+auto isPreviousOwnerDone(const key_slice &slice, const slice_state &state, instant now) -> bool
 {
     if (now < state.newOwnerFrom)
         return false;
-    return hasEnded(directory, slice.previous) || now >= state.previousGrantEnds || state.released;
+    return slice.previous.id.empty() || now >= state.previousGrantEnds || state.released;
 }
 
 // The longest that a grant is valid after its arrival, by this host's clock.
@@ -159,12 +171,11 @@
     auto changed = false;
     for (auto &slice : table.slices) {
         const auto &state = manager.states.at(slice.from);
-        const auto ended = hasEnded(directory, slice.owner);
-        const auto usable = !ended && mayOwn(directory, slice.owner);
+        const auto usable = mayOwn(directory, slice.owner);
         if (usable && !state.superseded)
             continue;
-        const auto settled = slice.phase != slice_phase::Pending
-                || isPreviousOwnerDone(slice, state, directory, now);
+        const auto settled =
+                slice.phase != slice_phase::Pending || isPreviousOwnerDone(slice, state, now);
         if (usable) {
             // It may still serve under an earlier grant until then.
             if (settled && now >= state.lostGrantEnds) {
@@ -176,7 +187,9 @@
         auto *receiver = leastLoaded(listed);
         if (!settled || receiver == nullptr || receiver->owner == slice.owner)
             continue;
-        assignOwner(table, slice, receiver->owner, ended ? key_owner{} : slice.owner);
+        // An owner that has started again may have taken a renewal that was meant for the earlier
+        // incarnation.
+        assignOwner(table, slice, receiver->owner, slice.owner);
         receiver->share.actual += shareOf(slice, load);
         changed = true;
     }
@@ -253,11 +266,11 @@
 }
 
 auto makeOrder(const key_slice &slice, const slice_state &state, const ownership_limits &limits,
-               order_kind kind) -> key_order
+               const server_directory &directory, order_kind kind) -> key_order
 {
     const auto isGrant = kind == order_kind::Grant;
     return {kind,
-            isGrant ? slice.owner : slice.previous,
+            isGrant ? slice.owner : latestIncarnation(directory, slice.previous),
             slice.from,
             slice.to,
             slice.fence,
@@ -280,7 +293,7 @@
 {
     if (slice.phase == slice_phase::Vacant || state.orderInFlight)
         return std::nullopt;
-    if (slice.phase == slice_phase::Pending && !isPreviousOwnerDone(slice, state, directory, now)) {
+    if (slice.phase == slice_phase::Pending && !isPreviousOwnerDone(slice, state, now)) {
         return now >= state.nextOrderAt ? std::optional(order_kind::Release) : std::nullopt;
     }
     // Keys of an owner that has ended are reassigned by planOwnership. A draining owner keeps its
@@ -445,7 +458,7 @@
         if (*kind == order_kind::Grant)
             state.ownerGrantEnds =
                     std::max(state.ownerGrantEnds, now + longestHold(manager.limits));
-        orders.push_back(makeOrder(slice, state, manager.limits, *kind));
+        orders.push_back(makeOrder(slice, state, manager.limits, directory, *kind));
     }
     return orders;
 }
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -2,10 +2,10 @@
 // which the leading host decides owners and sends grants and releases to servers.
 //
 // A new owner is stored in the table before it receives a grant. It receives the grant only when
-// the previous owner can no longer hold the keys: that owner released them, its last grant has
-// expired, or its incarnation has ended. The fence rises with each new owner. A release carries the
-// fence of the new owner: from then on the previous owner rejects every earlier grant that takes
-// effect late, whichever leader sent it.
+// the previous owner can no longer hold the keys: it released them, another server has answered at
+// its address, or its last grant has expired. The fence rises with each new owner. A release
+// carries the fence of the new owner: from then on the previous owner rejects every earlier grant
+// that takes effect late, whichever leader sent it.
 #pragma once
 
 #include "core/error.h"
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -101,10 +101,10 @@
 
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool
 {
-    auto &latest = directory.latestStartById[record.id];
-    if (latest > record.startTimeMs)
+    auto &latest = directory.latestById[record.id];
+    if (latest.startTimeMs > record.startTimeMs)
         return false;
-    latest = record.startTimeMs;
+    latest = {record.startTimeMs, record.address};
     if (isReplaced(directory, record) || isRepeated(directory, record))
         return clearMissing(directory, record.id);
     if (isRemoved(directory, record)) {
@@ -226,8 +226,8 @@
 auto isSuperseded(const server_directory &directory, const server_id &id, std::int64_t startTimeMs)
         -> bool
 {
-    const auto latest = directory.latestStartById.find(id);
-    return latest != directory.latestStartById.end() && latest->second > startTimeMs;
+    const auto latest = directory.latestById.find(id);
+    return latest != directory.latestById.end() && latest->second.startTimeMs > startTimeMs;
 }
 
 } // namespace parsleyloft
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -25,6 +25,12 @@
     std::uint64_t sequence = 0;
 };
 
+struct server_incarnation
+{
+    std::int64_t startTimeMs = 0;
+    endpoint address;
+};
+
 // Invariant: an entry is never replaced by an earlier incarnation of its server, nor by an earlier
 // announcement of the same incarnation.
 struct server_directory
@@ -35,9 +41,9 @@
     // Entries of removed incarnations that an older copy of the store lists again. Their servers
     // have left, unless the store still lists them after confirmationTime.
     std::map<server_id, directory_entry> unconfirmed;
-    // The latest start time known for each id. Kept after an entry is removed, so that an ended
+    // The latest incarnation known for each id. Kept after an entry is removed, so that an ended
     // incarnation is never accepted again.
-    std::map<server_id, std::int64_t> latestStartById;
+    std::map<server_id, server_incarnation> latestById;
     // The incarnations whose answers stated that they leave, by id. Kept after an entry is removed:
     // such an incarnation never becomes usable again, whatever its entry says.
     std::map<server_id, std::int64_t> leavingStartById;
--- a/tests/support/ownership_model.h
+++ b/tests/support/ownership_model.h
@@ -1,9 +1,7 @@
 // A model of servers that hold keys, a store, and successive leaders, for seeded tests of the
 // ownership decisions. Orders are delayed, lost, or take effect late. Servers crash, restart at the
-// same address, drain, and disappear from the store while they run.
-//
-// Not modelled: an order whose connection is established only after the server has restarted with
-// its previous id.
+// same address, drain, and disappear from the store while they run. A server that has started again
+// under its id takes orders before the store lists it.
 #pragma once
 
 #include "decisions/key_ownership.h"
