Bound what answers to orders and whole answers may hold

Servers in trouble answered grants with bytes without end.

Cause: a body that is received as a whole had one limit for all uses (64 MB for servers, 8 MB for the store) and none for all of them together; the limit for held bytes bound answers to requests only, and such a body reserved its whole limit at its start.

Ruled out: heads, chunk sizes, trailers, interim answers and answers to others have limits (tests of before); answers to requests are held in parts within a quarter of the memory.

--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t heldMemoryDivisor = 4;
 constexpr std::size_t bytesPerKilobyte = 1024;
 constexpr std::size_t bytesPerMegabyte = std::size_t(1024) * 1024;
+// Answers of the store may occupy this part of it, for each of the two clients.
+constexpr std::size_t storeMemoryDivisor = 16;
 // The largest answer of the store: a page of about 1 MB, encoded as base64, or one value.
 constexpr std::size_t maxStoreAnswerBytes = std::size_t(8) * 1024 * 1024;
 // Sent bytes stay unacknowledged for this long only if the server's machine or the network to it
@@ -100,14 +102,15 @@
     http_client_options serverOptions;
     serverOptions.maxIdlePerEndpoint = maxIdlePerServer;
     serverOptions.tcpUserTimeout = unacknowledgedLimit;
-    if (settings.size().memory_mb() > 0)
-        serverOptions.maxHeldBytes =
-                settings.size().memory_mb() * bytesPerMegabyte / heldMemoryDivisor;
+    const auto memory = settings.size().memory_mb() * bytesPerMegabyte;
+    if (memory > 0)
+        serverOptions.maxHeldBytes = memory / heldMemoryDivisor;
     router.servers = makeHttpClient(*router.workers, serverOptions);
     http_client_options storeOptions;
     storeOptions.keepAliveInterval = storeKeepAliveProbe;
     storeOptions.tcpUserTimeout = storeUnacknowledgedLimit;
     storeOptions.maxBodyBytes = maxStoreAnswerBytes;
+    storeOptions.maxHeldBytes = std::max(maxStoreAnswerBytes, memory / storeMemoryDivisor);
     router.store.http = makeHttpClient(*router.workers, storeOptions);
     router.store.address = *parseEndpoint(settings.store_address());
     // Watches have connections of their own, so that no other call waits behind them.
--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -192,6 +192,33 @@
     CHECK(countHeldKeys(*server) == 0);
 }
 
+// Guards against a leader that runs out of memory because servers answer grants with bytes without
+// end.
+TEST_CASE_METHOD(store_and_client, "order_answered_with_bytes_without_end_is_cut_off",
+                 "[key_orders]")
+{
+    std::atomic<std::size_t> sent = 0;
+    std::atomic<bool> closed = false;
+    raw_server raw([&](raw_connection &connection) {
+        const std::string filler(std::size_t(64) * 1024, 'x');
+        auto open = sendAll(connection, "HTTP/1.1 200 OK\r\n\r\n");
+        for (; open && !raw.stopping; sent += filler.size())
+            open = sendAll(connection, filler);
+        closed = !open;
+        return false;
+    });
+    std::promise<order_result> promise;
+    const key_order order{order_kind::Grant, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
+    sendKeyOrder(client.http, order, 3s,
+                 [&](order_result result, const std::string &) { promise.set_value(result); });
+    CHECK(promise.get_future().get() == order_result::Unanswered);
+    for (int tries = 0; tries < 1000 && !closed; ++tries)
+        std::this_thread::sleep_for(1ms);
+    CHECK(closed);
+    // The kernel's buffers hold some megabytes.
+    CHECK(sent < std::size_t(16) * 1024 * 1024);
+}
+
 // An odd item must not end the following of all others.
 TEST_CASE_METHOD(store_and_client, "malformed_item_of_an_answer_affects_that_item_only", "[store]")
 {
--- a/tests/transport/http_stream_test.cpp
+++ b/tests/transport/http_stream_test.cpp
@@ -45,7 +45,8 @@
     }
 
     auto call(duration timeout = 2s, std::size_t held = heldBytes,
-              const std::string &matchHeader = "Id", const std::string &id = "r1") -> http_outcome
+              const std::string &matchHeader = "Id", const std::string &id = "r1",
+              std::size_t maxBody = std::numeric_limits<std::size_t>::max()) -> http_outcome
     {
         http_request request;
         if (!id.empty())
@@ -54,6 +55,7 @@
         options.timeout = timeout;
         options.matchHeader = matchHeader;
         options.heldBytes = held;
+        options.maxBodyBytes = maxBody;
         options.newConnection = newConnection;
         auto promise = std::make_shared<std::promise<http_outcome>>();
         sendHttp(client, server->address, std::move(request), options,
@@ -372,6 +374,30 @@
         CHECK(call(3s, 0).failure == http_failure::ResponseLost);
         CHECK(isClosed());
     }
+    SECTION("in_a_body_that_the_request_allows_to_be_short_only")
+    {
+        answerWithoutEnd(ownHead + "\r\n", filler);
+        CHECK(call(3s, 0, "Id", "r1", heldBytes).failure == http_failure::ResponseLost);
+        CHECK(isClosed());
+        CHECK(sentWithoutEnd < heldBytes + kernelBytes);
+    }
+    SECTION("in_bodies_that_are_received_as_a_whole_at_the_same_time")
+    {
+        http_client_options options;
+        options.maxBodyBytes = std::size_t(64) * 1024 * 1024;
+        options.maxHeldBytes = 8 * heldBytes;
+        client = makeHttpClient(*pool, options);
+        answerWithoutEnd(ownHead + "\r\n", filler);
+        std::vector<std::future<http_outcome>> calls;
+        for (int index = 0; index < 6; ++index)
+            calls.push_back(std::async(std::launch::async, [&] { return call(3s, 0); }));
+        for (auto &ended : calls)
+            CHECK(ended.get().failure == http_failure::ResponseLost);
+        CHECK(sentWithoutEnd < options.maxHeldBytes + calls.size() * kernelBytes);
+        // All memory is free again.
+        answer(ownHead + "Content-Length: 2\r\n\r\nab");
+        CHECK(call(2s, 0).response.body == "ab");
+    }
     SECTION("in_a_body_that_is_received_in_parts")
     {
         answerWithoutEnd(ownHead + "\r\n", filler);
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -425,15 +425,6 @@
     return stream;
 }
 
-// The bytes of the response's body that may be held.
-auto holdLimit(const http_client::internals &client, const http_send_options &options)
-        -> std::size_t
-{
-    if (options.heldBytes == 0)
-        return client.options.maxBodyBytes;
-    return client.heldBytes < client.options.maxHeldBytes ? options.heldBytes : bodyPartBytes;
-}
-
 // Counts the bytes as held until the result is destroyed.
 auto reserveBytes(const shared_client &client, std::size_t bytes) -> std::shared_ptr<void>
 {
@@ -441,27 +432,60 @@
     return {nullptr, [client, bytes](void *) { client->heldBytes -= bytes; }};
 }
 
-// Receives the body of the request's own response, or its beginning.
-auto receiveOwnBody(const shared_client &client, const request_job &job,
-                    const shared_reader &reader, http_outcome &outcome) -> asio::awaitable<void>
+// Receives a body completely. Memory is reserved as the body grows, so that bodies without an end
+// fail together long before they are large.
+auto receiveWholeBody(const shared_client &client, const request_job &job, response_reader &reader,
+                      http_response &response) -> asio::awaitable<boost::system::error_code>
 {
-    auto &response = outcome.response;
-    const auto limit = holdLimit(*client, job.options);
+    const auto maxBytes = std::min(job.options.maxBodyBytes, client->options.maxBodyBytes);
+    while (!reader.parser->is_done()) {
+        const auto received = response.body.size();
+        const auto limit = std::min(maxBytes, std::max(2 * received, bodyPartBytes));
+        if (received == maxBytes
+            || client->heldBytes + (limit - received) > client->options.maxHeldBytes)
+            co_return make_error_code(http::error::body_limit);
+        response.reservation = reserveBytes(client, limit);
+        const auto error = co_await receiveBody(reader, limit, response.body);
+        if (error)
+            co_return error;
+    }
+    response.reservation = reserveBytes(client, response.body.size());
+    co_return boost::system::error_code();
+}
+
+// Receives the body, or its beginning. The rest is left to a body_stream.
+auto receiveHeldBody(const shared_client &client, const request_job &job,
+                     const shared_reader &reader, http_response &response)
+        -> asio::awaitable<boost::system::error_code>
+{
+    const auto limit = client->heldBytes < client->options.maxHeldBytes ? job.options.heldBytes
+                                                                        : bodyPartBytes;
     const auto length = reader->parser->content_length();
     response.reservation = reserveBytes(
             client,
             length ? static_cast<std::size_t>(std::min<std::uint64_t>(*length, limit)) : limit);
     const auto error = co_await receiveBody(*reader, limit, response.body);
-    if (error) {
-        outcome.failure = toHttpFailure(error);
-    } else if (reader->parser->is_done()) {
+    if (error)
+        co_return error;
+    if (reader->parser->is_done())
         response.reservation = reserveBytes(client, response.body.size());
-        keepIfReusable(*client, job.to, *reader, response);
-    } else if (job.options.heldBytes == 0) {
-        outcome.failure = http_failure::ResponseLost;
-    } else {
+    else
         response.rest = makeBodyStream(client, job.to, reader, response);
-    }
+    co_return boost::system::error_code();
+}
+
+// Receives the body of the request's own response, or its beginning.
+auto receiveOwnBody(const shared_client &client, const request_job &job,
+                    const shared_reader &reader, http_outcome &outcome) -> asio::awaitable<void>
+{
+    auto &response = outcome.response;
+    const auto error = job.options.heldBytes == 0
+            ? co_await receiveWholeBody(client, job, *reader, response)
+            : co_await receiveHeldBody(client, job, reader, response);
+    if (error)
+        outcome.failure = toHttpFailure(error);
+    else if (!response.rest)
+        keepIfReusable(*client, job.to, *reader, response);
 }
 
 // Sends the request and reads responses until its own arrives.
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -4,6 +4,8 @@
 #include "transport/http_message.h"
 #include "transport/worker_pool.h"
 
+#include <limits>
+
 namespace parsleyloft {
 
 enum class http_failure {
@@ -63,6 +65,8 @@
     // The bytes of a response's body that may be held at once. The rest of a longer body is left to
     // the body_stream of the response. 0: the whole body is received first.
     std::size_t heldBytes = 0;
+    // A body that is received as a whole must not be longer than this, or than the client's limit.
+    std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     // If writing has not started this long after the call, the request is not sent.
     duration maxSendDelay = 1h;
 };
@@ -78,7 +82,7 @@
     // A body that is received as a whole must not be longer.
     std::size_t maxBodyBytes = 64 * 1024 * 1024;
     // Bytes of bodies held for all requests together. Beyond them the bodies of further responses
-    // are held in small parts only.
+    // are held in small parts only, and those that are received as a whole fail.
     std::size_t maxHeldBytes = 256 * 1024 * 1024;
 };
 
