--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <map>
+#include <mutex>
 
 namespace parsleyloft {
 
@@ -192,6 +194,42 @@
     CHECK(countHeldKeys(*server) == 0);
 }
 
+// Guards against a second holder: the late second copy of the answer to a grant came where the
+// answer to a release was expected, before the server had ended its work on the keys.
+TEST_CASE_METHOD(store_and_client, "second_copy_of_a_grants_answer_does_not_confirm_a_release",
+                 "[key_orders]")
+{
+    const auto answersRelease = GENERATE(false, true);
+    std::mutex lock;
+    std::map<int, std::string> lastAnswers;
+    raw_server raw([&](raw_connection &connection) {
+        const auto isRelease = connection.request.starts_with("POST /release");
+        const std::string own =
+                "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n";
+        const std::lock_guard guard(lock);
+        auto &last = lastAnswers[connection.socket];
+        if (isRelease && !sendAll(connection, last))
+            return false;
+        last = own + "\r\n";
+        if (!isRelease)
+            return sendAll(connection, last);
+        return !answersRelease || sendAll(connection, own + "X-Handover: token\r\n\r\n");
+    });
+    const auto send = [&](order_kind kind) {
+        std::promise<std::pair<order_result, std::string>> promise;
+        const key_order order{kind, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
+        sendKeyOrder(client.http, order, 500ms,
+                     [&](order_result result, const std::string &handover) {
+                         promise.set_value({result, handover});
+                     });
+        return promise.get_future().get();
+    };
+    CHECK(send(order_kind::Grant).first == order_result::Done);
+    const auto [result, handover] = send(order_kind::Release);
+    CHECK(result == (answersRelease ? order_result::Done : order_result::Unanswered));
+    CHECK(handover == (answersRelease ? "token" : ""));
+}
+
 // Guards against a leader that runs out of memory because servers answer grants with bytes without
 // end.
 TEST_CASE_METHOD(store_and_client, "order_answered_with_bytes_without_end_is_cut_off",
