Count the hold of an unanswered grant from the end of its call

Cause: the end of a grant without an answer was counted from the plan of the order, plus the call's time limit. The limit runs from the sending. A leader that is busy, with a thousand orders of one round, sends the last of them later than planned, so its server may hold the keys after the next owner has been granted them by time.

Change: when a call ends without a confirmation, its hold counts from then, also where the keys have got a new owner meanwhile. A call that was not sent binds nobody.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -308,11 +308,18 @@
                        const key_order &order, order_result result, instant now) -> void
 {
     const auto &limits = manager.limits;
+    const auto done = result == order_result::Done;
+    // The call may have begun later than planned. Its server has received it by now, or never will.
+    const auto ends = result == order_result::NotSent ? instant() : now + maxHoldAtServer(limits);
     // The slice may have got a new owner while this renewal was in flight.
-    if (order.fence != slice.fence)
+    if (order.fence != slice.fence) {
+        if (order.server.id == slice.previous.id)
+            state.previousGrantEnds = std::max(state.previousGrantEnds, ends);
         return;
+    }
     state.orderInFlight = false;
-    const auto done = result == order_result::Done;
+    if (!done)
+        state.ownerGrantEnds = std::max(state.ownerGrantEnds, ends);
     state.nextOrderAt = now + (done ? limits.renewAfter : limits.retryAfter);
     // A grant of a wider range is also rejected when a part of it has been moved.
     if (result == order_result::FenceTooLow && order.from == slice.from && order.to == slice.to) {
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -258,6 +258,39 @@
     }
 }
 
+// Guards against a second holder: a busy leader sent a renewal well after it had planned it, and
+// counted the hold of its unresponsive owner from the plan.
+TEST_CASE_METHOD(manager_with_two_servers, "hold_of_an_unanswered_renewal_counts_from_its_end",
+                 "[ownership]")
+{
+    now += limits.renewAfter;
+    const auto renewals = orders();
+    const auto movedMeanwhile = GENERATE(false, true);
+    const auto move = [&] {
+        recordServerRemoved(directory, "s1", now);
+        planAndStore();
+    };
+    if (movedMeanwhile)
+        move();
+    now += limits.callTimeout + 2s;
+    for (const auto &order : renewals)
+        recordOrderResult(manager, order,
+                          order.server.id == "s1" ? order_result::Unanswered : order_result::Done,
+                          {}, now);
+    const auto ends = now + limits.hold;
+    if (!movedMeanwhile)
+        move();
+    for (; now < ends; now += 100ms) {
+        for (const auto &order : orders()) {
+            CHECK((order.server.id == "s1" || order.fence <= 8));
+            recordOrderResult(manager, order,
+                              order.server.id == "s1" ? order_result::Unanswered
+                                                      : order_result::Done,
+                              {}, now);
+        }
+    }
+}
+
 TEST_CASE_METHOD(manager_with_two_servers, "release_rejects_a_renewal_that_it_overtakes",
                  "[ownership]")
 {
