Watch a caller's connection on after a wake-up without data

A server then goes on with work whose caller has left (GONE).

Cause: the watch takes one readiness event. It may be left over from the request's own bytes, read meanwhile by another worker; the socket then has no data, and the watch ended without being started again.

Change: it is started again, until the response is known.

--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -201,6 +201,33 @@
     disconnected.get_future().wait();
 }
 
+// Guards against a caller's close that is missed: the watch of the connection ended when it was
+// woken without data.
+TEST_CASE_METHOD(server_and_client, "every_close_of_a_caller_is_noticed", "[http]")
+{
+    constexpr int rounds = 4000;
+    auto missed = 0;
+    for (int round = 0; round < rounds; ++round) {
+        auto disconnected = std::make_shared<std::promise<void>>();
+        auto arrived = std::make_shared<std::promise<void>>();
+        handler = [=](const http_request &request, const http_responder &respond) {
+            onCallerDisconnect(request.caller, [=] {
+                respond({});
+                disconnected->set_value();
+            });
+            arrived->set_value();
+        };
+        std::promise<void> ended;
+        const auto exchange =
+                sendHttp(client, address, {}, {10s, {}}, [&](const auto &) { ended.set_value(); });
+        arrived->get_future().wait();
+        cancelHttp(exchange);
+        ended.get_future().wait();
+        missed += disconnected->get_future().wait_for(2s) == std::future_status::ready ? 0 : 1;
+    }
+    CHECK(missed == 0);
+}
+
 TEST_CASE_METHOD(server_and_client, "idle_connection_is_reused_only_within_the_maximum_idle_age",
                  "[http]")
 {
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -3,6 +3,7 @@
 
 #include "core/endpoint.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -40,6 +41,8 @@
     // Both guarded by lock. The callback runs at most once, on a worker, without holding the lock.
     bool disconnected = false;
     std::function<void()> onDisconnect;
+    // True once the response is known: the connection is no longer watched for this request.
+    std::atomic<bool> ended = false;
 };
 
 using shared_caller_connection = std::shared_ptr<caller_connection>;
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -173,13 +173,16 @@
     auto &socket = connection->stream.socket();
     socket.async_wait(
             tcp::socket::wait_read, [connection, caller](boost::system::error_code error) {
-                if (error)
+                if (error || caller->ended)
                     return;
                 char byte = 0;
                 const auto handle = connection->stream.socket().native_handle();
                 const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
                 const auto wouldBlock = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-                if (received <= 0 && !wouldBlock)
+                // Readiness can be left over from bytes that have been read meanwhile.
+                if (wouldBlock)
+                    watchCaller(connection, caller);
+                else if (received <= 0)
                     notifyCallerDisconnected(*caller);
             });
 }
@@ -397,6 +400,7 @@
     stream.socket().cancel(ignored);
     {
         const std::lock_guard guard(caller->lock);
+        caller->ended = true;
         caller->onDisconnect = nullptr;
         if (caller->disconnected)
             co_return false;
