Release keys at the address that their grants went to

What callers and servers saw: an entry under the id of a server that holds keys, with a later start and the address of another server (one of another writer: its service is none that is configured), made the leader send the release of that server's keys to the other server.

Cause: the release went to the latest incarnation of the holder's id, wherever its entry said that it is. Nothing at that address had received one of the grants, so neither its 200 nor its 421 says anything about a process that has. Class: what a leader may conclude about a holder; here from an answer at an address that the holder never had.

Change: the release goes to the address in the table, to which each grant went. A process that has started again there under the same id may have taken a renewal, and answers for it. Ruled out: ignoring such entries only (a server that really starts again at another address gives the same wrong answer). Keys whose holder's id is listed at another address count as a long wait, so callers are refused at once.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -20,15 +20,14 @@
     return owner.id.empty() || isSuperseded(directory, owner.id, owner.startTimeMs);
 }
 
-// The latest incarnation of the owner's server.
-auto latestIncarnation(const server_directory &directory, key_owner owner) -> key_owner
+// True when the directory lists the owner's id, or knows a later incarnation of it, at the address
+// to which the owner's grants went.
+auto isReachable(const server_directory &directory, const key_owner &owner) -> bool
 {
-    if (hasEnded(directory, owner) && !owner.id.empty()) {
-        const auto &latest = directory.latestById.at(owner.id);
-        owner.startTimeMs = latest.startTimeMs;
-        owner.address = latest.address;
-    }
-    return owner;
+    if (!hasEnded(directory, owner) && findEntry(directory, owner.id) == nullptr)
+        return false;
+    const auto latest = directory.latestById.find(owner.id);
+    return latest != directory.latestById.end() && latest->second.address == owner.address;
 }
 
 // True when the same incarnation of the owner is still listed and usable.
@@ -265,12 +264,14 @@
     return changed;
 }
 
+// A release goes to the address that the grants went to, whatever the entries say by now: only the
+// process there can have taken one.
 auto makeOrder(const key_slice &slice, const slice_state &state, const ownership_limits &limits,
-               const server_directory &directory, order_kind kind) -> key_order
+               order_kind kind) -> key_order
 {
     const auto isGrant = kind == order_kind::Grant;
     return {kind,
-            isGrant ? slice.owner : latestIncarnation(directory, slice.previous),
+            isGrant ? slice.owner : slice.previous,
             slice.from,
             slice.to,
             slice.fence,
@@ -386,9 +387,8 @@
 {
     if (slice.phase != slice_phase::Pending)
         return owner_wait::Unknown;
-    if (hasEnded(directory, slice.previous) || findEntry(directory, slice.previous.id) != nullptr)
-        return owner_wait::Short;
-    return owner_wait::Long;
+    const auto isShort = slice.previous.id.empty() || isReachable(directory, slice.previous);
+    return isShort ? owner_wait::Short : owner_wait::Long;
 }
 
 auto longestHold(const ownership_limits &limits) -> duration
@@ -465,7 +465,7 @@
         if (*kind == order_kind::Grant)
             state.ownerGrantEnds =
                     std::max(state.ownerGrantEnds, now + longestHold(manager.limits));
-        orders.push_back(makeOrder(slice, state, manager.limits, directory, *kind));
+        orders.push_back(makeOrder(slice, state, manager.limits, *kind));
     }
     return orders;
 }
--- a/tests/support/ownership_model.cpp
+++ b/tests/support/ownership_model.cpp
@@ -213,6 +213,14 @@
         server.relistedAt = world.now + drawTime(world, 1s, 8s);
         recordServerRemoved(world.directory, server.record.id, world.now);
     }
+    if (world.faults.foreignEntries && server.up && chance(world, 0.0015)) {
+        auto entry = server.record;
+        entry.service = "figures";
+        entry.address = world.servers.at(numbers[world.random() % numbers.size()]).record.address;
+        entry.startTimeMs = world.nextStartTimeMs++;
+        recordServer(world.directory, entry, world.now);
+        ++world.result.foreignEntries;
+    }
     if (world.faults.movingLoad && chance(world, 0.005)) {
         std::map<key_number, double> work;
         for (key_number bucket = 0; bucket < keyBuckets; ++bucket)
--- a/tests/support/ownership_model.h
+++ b/tests/support/ownership_model.h
@@ -25,6 +25,9 @@
     bool movingLoad = false;
     // The store comes back from an older copy of itself. The leader may not know of it at first.
     bool restores = false;
+    // Another writer replaces entries of servers by ones with a later start, a service that is not
+    // configured, and another server's address.
+    bool foreignEntries = false;
 };
 
 struct ownership_run_result
@@ -36,6 +39,7 @@
     // Grants without an answer that servers carried out late, before their hold had expired.
     int lateGrants = 0;
     int restores = 0;
+    int foreignEntries = 0;
     // Buckets of keys without an owner at the end of the time without faults.
     int unowned = 0;
 };
