Keep the address of each owner in encoded tables of owners

What servers would see: a server holds keys at one address, an entry with the same start and a higher count names another address, and some of its keys are assigned to it there.

Cause: the list of owners in the stored table, and in updates between hosts, was indexed by id and start without the address.

Evidence: ownership_table_with_an_owner_at_two_addresses_is_equal_after_decoding failed before, for the stored table and for a change of it ("decoded->slices == table.slices", "change->slices == table.slices"), and passes now. The format is unchanged: an owner with two addresses takes two lines in the list.

--- a/codec/shared_state_codec.cpp
+++ b/codec/shared_state_codec.cpp
@@ -4,12 +4,14 @@
 #include "generated/shared_state.pb.h"
 
 #include <map>
+#include <tuple>
 
 namespace parsleyloft {
 
 namespace {
 
-using owner_indexes = std::map<std::pair<server_id, std::int64_t>, std::uint32_t>;
+// By id, start and address: orders go to the address in the table.
+using owner_indexes = std::map<std::tuple<server_id, std::int64_t, endpoint>, std::uint32_t>;
 
 // The index of an owner in the message's list of owners, counted from 1, or 0 for no owner. Adds
 // the owner to the list when it is new.
@@ -18,7 +20,7 @@
 {
     if (owner.id.empty())
         return 0;
-    auto &index = indexes[{owner.id, owner.startTimeMs}];
+    auto &index = indexes[{owner.id, owner.startTimeMs, owner.address}];
     if (index != 0)
         return index;
     auto *added = record.add_owners();
--- a/tests/codec/codec_test.cpp
+++ b/tests/codec/codec_test.cpp
@@ -2,6 +2,7 @@
 #include "codec/assignment_codec.h"
 #include "codec/configuration_codec.h"
 #include "codec/json.h"
+#include "codec/shared_state_codec.h"
 
 #include <catch2/catch.hpp>
 
@@ -66,6 +67,26 @@
     CHECK(fromWire(toWire(table)) == table);
 }
 
+// Guards against a second holder: a successor read one address for all owners with the same id and
+// start, and sent the releases of keys that were granted elsewhere to it.
+TEST_CASE("ownership_table_with_an_owner_at_two_addresses_is_equal_after_decoding", "[codec]")
+{
+    const key_owner held{"s1", 1000, {"10.0.0.1", 80}};
+    const key_owner moved{"s1", 1000, {"10.0.0.9", 80}};
+    ownership_table table;
+    table.service = "ledger";
+    table.nextFence = 3;
+    table.slices = {{0, 99, slice_phase::Pending, moved, 2, held},
+                    {100, lastKey, slice_phase::Held, held, 1, {}}};
+    const auto decoded = decodeOwnership(encodeOwnership(table));
+    REQUIRE(decoded);
+    CHECK(decoded->slices == table.slices);
+    const auto change = fromWire(toWire(
+            ownership_change{"ledger", {1, 2}, 3, 4, 3, lost_decisions::None, table.slices}));
+    REQUIRE(change);
+    CHECK(change->slices == table.slices);
+}
+
 TEST_CASE("exchange_after_encoding_and_decoding_keeps_the_returned_stamp_with_its_leader",
           "[codec]")
 {
