Reset the connection of a request that is given up

A request or an order to a server that reached its time limit, or was cancelled, could still arrive: the connection was closed in order, so the kernel went on sending the bytes that the server's side had not taken yet. The leader counts the hold of an unanswered grant from the end of its call, so one that arrives seconds later outlives what the leader assumes, and its keys may be held by two servers.

Such a connection is now closed with a reset, which discards the unsent bytes. The option is set once when the connection is established, since the stream's timeout closes the socket itself, and is cleared before a connection ends whose last response was complete, or that carried no request.

Tried on loopback: without a reset a server that reads after the end of the call gets the whole request; with it, it gets what its receive window had taken and then ECONNRESET. Bytes that are already in the server's receive queue stay readable there after a reset (Linux), so this does not help against a server that takes a delivered order late.

The new test failed before in both sections, at the timeout and when cancelled: CHECK_FALSE( receiveRequest() ) with expansion: !true.

--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <future>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -54,6 +55,81 @@
     http_client client = makeHttpClient(*pool, 4);
 };
 
+// A server that accepts the connection of a request, but reads late. Most of the request stays in
+// the client's kernel until then, because the receive window is small.
+struct client_of_a_late_reader
+{
+    client_of_a_late_reader()
+    {
+        listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int windowBytes = 2048;
+        ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &windowBytes, sizeof(windowBytes));
+        sockaddr_in bound{};
+        bound.sin_family = AF_INET;
+        bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(listener, reinterpret_cast<sockaddr *>(&bound), sizeof(bound)) == 0);
+        REQUIRE(::listen(listener, 8) == 0);
+        socklen_t size = sizeof(bound);
+        ::getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &size);
+        address = {"127.0.0.1", ntohs(bound.sin_port)};
+        request.method = "POST";
+        request.body.assign(bodyBytes, 'x');
+    }
+
+    ~client_of_a_late_reader()
+    {
+        ::close(connection);
+        ::close(listener);
+        stopWorkers(*pool);
+    }
+
+    auto send(duration timeout) -> http_exchange
+    {
+        http_send_options options;
+        options.timeout = timeout;
+        auto exchange = sendHttp(client, address, request, options, [this](http_outcome outcome) {
+            ended.set_value(std::move(outcome));
+        });
+        connection = ::accept(listener, nullptr, nullptr);
+        REQUIRE(connection >= 0);
+        return exchange;
+    }
+
+    // Waits up to a second for bytes. Returns what recv returns, or -1 if nothing has come.
+    auto receiveSome() -> ssize_t
+    {
+        constexpr int patienceMs = 1000;
+        pollfd polled{connection, POLLIN, 0};
+        char bytes[4096];
+        if (::poll(&polled, 1, patienceMs) <= 0)
+            return -1;
+        const auto count = ::recv(connection, bytes, sizeof(bytes), 0);
+        if (count > 0)
+            received.append(bytes, static_cast<std::size_t>(count));
+        return count;
+    }
+
+    // Returns false if the connection ends within the request, or nothing more comes.
+    auto receiveRequest() -> bool
+    {
+        while (received.find(request.body) == std::string::npos) {
+            if (receiveSome() <= 0)
+                return false;
+        }
+        return true;
+    }
+
+    static constexpr std::size_t bodyBytes = std::size_t(64) * 1024;
+    int listener = -1;
+    int connection = -1;
+    endpoint address;
+    http_request request;
+    std::string received;
+    std::promise<http_outcome> ended;
+    std::unique_ptr<worker_pool> pool = startWorkers(2);
+    http_client client = makeHttpClient(*pool, 4);
+};
+
 } // namespace
 
 TEST_CASE_METHOD(server_and_client, "request_gets_its_own_response", "[http]")
@@ -288,4 +364,35 @@
     ::close(listener);
 }
 
+// Guards against requests and orders that arrive after their sender has given them up: an orderly
+// close leaves the unsent bytes to the kernel, which goes on sending them.
+TEST_CASE_METHOD(client_of_a_late_reader, "request_that_was_given_up_does_not_arrive_later",
+                 "[http]")
+{
+    SECTION("at_its_timeout")
+    {
+        send(200ms);
+        CHECK(ended.get_future().get().failure == http_failure::TimedOut);
+    }
+    SECTION("when_it_was_cancelled")
+    {
+        const auto exchange = send(10s);
+        std::this_thread::sleep_for(50ms);
+        cancelHttp(exchange);
+        CHECK(ended.get_future().get().failure == http_failure::Cancelled);
+    }
+    CHECK_FALSE(receiveRequest());
+}
+
+TEST_CASE_METHOD(client_of_a_late_reader, "connection_of_an_answered_request_is_closed_in_order",
+                 "[http]")
+{
+    send(10s);
+    REQUIRE(receiveRequest());
+    const std::string answer = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    REQUIRE(::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL) > 0);
+    CHECK(ended.get_future().get().failure == http_failure::None);
+    CHECK(receiveSome() == 0);
+}
+
 } // namespace parsleyloft
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -55,7 +55,20 @@
         : stream(executor)
     { }
 
+    // Ends the connection in order, unless a request on it was given up.
+    ~open_connection()
+    {
+        if (exchangeOpen)
+            return;
+        boost::system::error_code ignored;
+        stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
+    }
+    open_connection(const open_connection &) = delete;
+    auto operator=(const open_connection &) -> open_connection & = delete;
+
     beast::tcp_stream stream;
+    // True from the start of sending a request until its response is complete.
+    bool exchangeOpen = false;
     // True once the connection has carried a request.
     bool usedBefore = false;
     // Valid while idle: when the last exchange ended, and until when the server is expected to
@@ -192,6 +205,9 @@
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    // A close resets the connection, also when the stream's timeout closes it. Otherwise the kernel
+    // would go on sending a request that was given up, and the server could still receive it.
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
     const auto handle = socket.native_handle();
     if (options.tcpUserTimeout > 0us) {
         const auto limit = static_cast<unsigned>(toMilliseconds(options.tcpUserTimeout));
@@ -366,9 +382,11 @@
             && reader.skippedResponses == 0;
 }
 
-auto keepIfReusable(http_client::internals &client, const endpoint &to, response_reader &reader,
-                    const http_response &response) -> void
+// Called once the response is complete.
+auto endExchange(http_client::internals &client, const endpoint &to, response_reader &reader,
+                 const http_response &response) -> void
 {
+    reader.connection->exchangeOpen = false;
     if (!isReusable(reader))
         return;
     reader.connection->stream.expires_never();
@@ -407,7 +425,7 @@
     part.failed = error.failed();
     part.last = part.failed || parser.is_done();
     if (part.last && !part.failed)
-        keepIfReusable(*response->client, response->to, reader, response->head);
+        endExchange(*response->client, response->to, reader, response->head);
     done(std::move(part));
 }
 
@@ -488,7 +506,7 @@
     if (error)
         outcome.failure = toHttpFailure(error);
     else if (!response.rest)
-        keepIfReusable(*client, job.to, *reader, response);
+        endExchange(*client, job.to, *reader, response);
 }
 
 // Sends the request and reads responses until its own arrives.
@@ -503,6 +521,7 @@
         reader->expectedValue = std::string(message[header]);
     boost::system::error_code error;
     reader->connection->stream.expires_at(job.deadline);
+    reader->connection->exchangeOpen = true;
     co_await http::async_write(reader->connection->stream, message,
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) {
