Send an order only under the leadership that planned it

A grant or release could leave a host that no longer led. Whether it leads was asked before the call; the connect (up to 300 ms) and the wait for a worker came after that, and a host that is short of processor time or frozen writes the order much later. Nor was it asked under which claim the host leads: one that lost its leadership and won it again would still send what it had planned from the earlier table.

The order is now checked right before its first byte is written, after the connect: the host must lead by the claim of the round that planned it. Otherwise the result is NotSent, which is certain, since no byte has been written. The http client takes the check as a function, because a fixed instant would know neither of an abandoned lease nor of a new claim. The check before the call is dropped, it is implied.

What remains is a freeze between the check and the system call, and an order whose later bytes wait for the receive window.

--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -284,14 +284,14 @@
 }
 
 auto sendOrder(router_process &router, const service_name &service, const key_order &order,
-               duration timeout) -> void
+               store_position leaderRevision, duration timeout) -> void
 {
-    // The host may have been frozen since the order was planned, and its lease may have ended.
-    if (!isLeading(router)) {
-        handleOrderResult(router, service, order, order_result::NotSent, {});
-        return;
-    }
-    sendKeyOrder(router.servers, order, timeout,
+    // The host may be frozen after the order was planned, or the connect may take long: meanwhile
+    // the leadership may end.
+    const auto maySend = [&router, leaderRevision] {
+        return leadershipRevision(router) == leaderRevision;
+    };
+    sendKeyOrder(router.servers, order, timeout, maySend,
                  [&router, service, order](order_result result, const std::string &handover) {
                      handleOrderResult(router, service, order, result, handover);
                  });
@@ -391,7 +391,7 @@
         if (round.planned)
             writeTable(router, *round.planned, *leaderRevision, round.revision);
         for (const auto &order : round.orders)
-            sendOrder(router, service, order, round.callTimeout);
+            sendOrder(router, service, order, *leaderRevision, round.callTimeout);
     }
 }
 
--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -14,6 +14,12 @@
 
 namespace {
 
+// Allows every order to be sent.
+auto always() -> bool
+{
+    return true;
+}
+
 struct store_and_client
 {
     store_and_client()
@@ -178,9 +184,10 @@
     const auto send = [&](const server_id &id, order_kind kind) {
         std::promise<std::pair<order_result, std::string>> promise;
         const key_order order{kind, {id, 1000, address}, 0, 4095, 12, 4s, {}};
-        sendKeyOrder(client.http, order, 2s, [&](order_result result, const std::string &handover) {
-            promise.set_value({result, handover});
-        });
+        sendKeyOrder(client.http, order, 2s, always,
+                     [&](order_result result, const std::string &handover) {
+                         promise.set_value({result, handover});
+                     });
         return promise.get_future().get();
     };
     CHECK(send("i-1", order_kind::Grant).first == order_result::OtherServer);
@@ -218,7 +225,7 @@
     const auto send = [&](order_kind kind) {
         std::promise<std::pair<order_result, std::string>> promise;
         const key_order order{kind, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
-        sendKeyOrder(client.http, order, 500ms,
+        sendKeyOrder(client.http, order, 500ms, always,
                      [&](order_result result, const std::string &handover) {
                          promise.set_value({result, handover});
                      });
@@ -230,6 +237,29 @@
     CHECK(handover == (answersRelease ? "token" : ""));
 }
 
+// Guards against an order that is written after the leadership has ended during the connect.
+TEST_CASE_METHOD(store_and_client, "order_is_checked_after_the_connect_and_then_not_written",
+                 "[key_orders]")
+{
+    std::atomic<int> received = 0;
+    raw_server raw([&](raw_connection &connection) {
+        ++received;
+        return sendAll(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto leadsUntilConnected = [&] {
+        for (int tries = 0; tries < 1000 && raw.connections == 0; ++tries)
+            std::this_thread::sleep_for(1ms);
+        return raw.connections == 0;
+    };
+    const auto kind = GENERATE(order_kind::Grant, order_kind::Release);
+    const key_order order{kind, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
+    std::promise<order_result> promise;
+    sendKeyOrder(client.http, order, 3s, leadsUntilConnected,
+                 [&](order_result result, const std::string &) { promise.set_value(result); });
+    CHECK(promise.get_future().get() == order_result::NotSent);
+    CHECK(received == 0);
+}
+
 // Guards against a leader that runs out of memory because servers answer grants with bytes without
 // end.
 TEST_CASE_METHOD(store_and_client, "order_answered_with_bytes_without_end_is_cut_off",
@@ -247,7 +277,7 @@
     });
     std::promise<order_result> promise;
     const key_order order{order_kind::Grant, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
-    sendKeyOrder(client.http, order, 3s,
+    sendKeyOrder(client.http, order, 3s, always,
                  [&](order_result result, const std::string &) { promise.set_value(result); });
     CHECK(promise.get_future().get() == order_result::Unanswered);
     for (int tries = 0; tries < 1000 && !closed; ++tries)
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -558,6 +558,14 @@
         outcome.failure = http_failure::Mismatch;
 }
 
+// True when writing the request may start.
+auto maySend(const request_job &job) -> bool
+{
+    if (job.exchange->cancelled || monotonicNow() > job.sendBy)
+        return false;
+    return !job.options.maySend || job.options.maySend();
+}
+
 // Reports the result to the callback. A partial response of a error exchange is discarded.
 auto finishJob(const request_job &job, http_outcome &&outcome) -> void
 {
@@ -590,7 +598,7 @@
         finishJob(job, std::move(outcome));
         co_return;
     }
-    if (job.exchange->cancelled || monotonicNow() > job.sendBy) {
+    if (!maySend(job)) {
         outcome.failure = http_failure::NotSent;
         finishJob(job, std::move(outcome));
         co_return;
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -69,6 +69,9 @@
     std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     // If writing has not started this long after the call, the request is not sent.
     duration maxSendDelay = 1h;
+    // Called without locks right before writing, after the connect. The request is not sent if it
+    // returns false.
+    std::function<bool()> maySend = nullptr;
 };
 
 struct http_client_options
