End leadership by the boot clock too

A leader on a machine that was suspended for longer than its lease went on leading after it resumed, until its next renewal failed: the lease was compared with the monotonic clock, which does not count a suspension, while the store's clock and those of the holders run on. In that time it could send grants and releases although another host had taken over.

The end of the lease is now kept by the monotonic and by the boot clock, and the lease has ended when either says so. Both are read before the renewal is sent. Other times stay on the monotonic clock: a leader that counts too little time waits longer for a grant to expire, which is safe.

Nothing accounted for suspensions before: no code read the boot clock or compared the time of day.

--- a/router/dump.cpp
+++ b/router/dump.cpp
@@ -120,7 +120,7 @@
     addKeys(router, dump);
     addQueues(router, dump);
     const std::lock_guard guard(router.leadership.lock);
-    const auto left = router.leadership.leaseValidUntil - monotonicNow();
+    const auto left = timeLeft(router.leadership.leaseValidUntil, hostTimeNow());
     dump.set_lease_left_us(std::max<std::int64_t>(left.count(), 0));
     return dump;
 }
--- a/router/leadership.cpp
+++ b/router/leadership.cpp
@@ -43,6 +43,12 @@
     return {own.lease, own.leaseEra};
 }
 
+// Called with the leadership's lock held.
+auto isLeaseValid(const lease_state &own) -> bool
+{
+    return timeLeft(own.leaseValidUntil, hostTimeNow()) > 0us;
+}
+
 // Called with the leadership's lock held.
 auto dropLease(lease_state &own) -> void
 {
@@ -52,15 +58,16 @@
 }
 
 // Returns false if the lease was abandoned meanwhile.
-auto recordRenewal(router_process &router, const store_lease &lease, instant sentAt) -> bool
+auto recordRenewal(router_process &router, const store_lease &lease, const host_time &sentAt)
+        -> bool
 {
     const std::lock_guard guard(router.leadership.lock);
     auto &own = router.leadership;
     own.callInFlight = false;
     if (heldLease(own) != lease)
         return false;
-    own.renewedAt = sentAt;
-    own.leaseValidUntil = sentAt + own.leaseLength - leaseMargin;
+    own.renewedAt = sentAt.monotonic;
+    own.leaseValidUntil = timeAfter(sentAt, own.leaseLength - leaseMargin);
     return true;
 }
 
@@ -98,7 +105,7 @@
 // depends on it then.
 auto acquireLease(router_process &router, duration length) -> void
 {
-    const auto sentAt = monotonicNow();
+    const auto sentAt = hostTimeNow();
     openLease(router.store, length, [&router, sentAt, length](const result<store_lease> &response) {
         countStoreCall(router.metrics, "lease", response.has_value());
         if (!response) {
@@ -117,8 +124,8 @@
             own.lease = response->id;
             own.leaseEra = response->era;
             own.leaseLength = length;
-            own.renewedAt = sentAt;
-            own.leaseValidUntil = sentAt + length - leaseMargin;
+            own.renewedAt = sentAt.monotonic;
+            own.leaseValidUntil = timeAfter(sentAt, length - leaseMargin);
             own.announced = false;
         }
         announce(router, *response);
@@ -127,7 +134,7 @@
 
 auto keepAlive(router_process &router, const store_lease &lease) -> void
 {
-    const auto sentAt = monotonicNow();
+    const auto sentAt = hostTimeNow();
     keepLeaseAlive(router.store, lease.id, [&router, lease, sentAt](const result<void> &response) {
         countStoreCall(router.metrics, "keep", response.has_value());
         if (response) {
@@ -243,8 +250,7 @@
     {
         const std::lock_guard guard(router.leadership.lock);
         const auto &own = router.leadership;
-        if (own.leaving || !own.announced || own.leaseEra != era
-            || monotonicNow() >= own.leaseValidUntil)
+        if (own.leaving || !own.announced || own.leaseEra != era || !isLeaseValid(own))
             return;
         change.expect.push_back({std::string(leaderKey), replaced.revision});
         claim = {router.self.id, own.lease, era, {}};
@@ -275,7 +281,7 @@
     }
     const std::lock_guard guard(router.leadership.lock);
     const auto &own = router.leadership;
-    if (own.leaving || monotonicNow() >= own.leaseValidUntil
+    if (own.leaving || !isLeaseValid(own)
         || !isOwnClaim(claim, router.self.id, own.lease, currentEra(router.store)))
         return std::nullopt;
     return claim.position;
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -340,7 +340,7 @@
     round.revision = managed.revision;
     // When renewals of the lease fail, this host may soon have to stop leading. Grants are then
     // renewed ahead of their usual time, while this host still may send them.
-    const auto pace = state.leaseValidUntil - now < lateRenewalThreshold
+    const auto pace = timeLeft(state.leaseValidUntil, hostTimeNow()) < lateRenewalThreshold
             ? renewal_pace::BeforeStopping
             : renewal_pace::Steady;
     round.orders = dueOrders(managed.manager, directory, pace, now);
--- a/router/router.h
+++ b/router/router.h
@@ -8,6 +8,7 @@
 // the reaction to a newer one takes the locks in this order and is started without any.
 #pragma once
 
+#include "core/host_time.h"
 #include "decisions/membership.h"
 #include "decisions/ownership_updates.h"
 #include "decisions/permit_queue.h"
@@ -249,7 +250,7 @@
     // When the last successful renewal was sent.
     instant renewedAt{};
     // The lease is valid at the store at least until then.
-    instant leaseValidUntil{};
+    host_time leaseValidUntil;
     // True once this host's entry has been written under the lease.
     bool announced = false;
     // True once this host stops: it neither renews its lease nor leads.
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -1,6 +1,7 @@
 // Tests of name tables, endpoints and hashes.
 #include "core/endpoint.h"
 #include "core/hash.h"
+#include "core/host_time.h"
 #include "core/outcome.h"
 
 #include <catch2/catch.hpp>
@@ -36,4 +37,17 @@
     CHECK(shardOf("plug-3", 52) == 47);
 }
 
+// Guards against a host that relies on a lease which ended while its machine was suspended.
+TEST_CASE("time_is_left_only_if_both_clocks_have_some", "[core]")
+{
+    const host_time start{instant(5s), 60s};
+    const auto end = timeAfter(start, 3s);
+    CHECK(timeLeft(end, start) == 3s);
+    CHECK(timeLeft(end, timeAfter(start, 3s)) == 0s);
+    const host_time afterSuspension{start.monotonic + 100ms, start.sinceBoot + 4s};
+    CHECK(timeLeft(end, afterSuspension) == -1s);
+    const host_time withoutBootClock{start.monotonic + 4s, start.sinceBoot};
+    CHECK(timeLeft(end, withoutBootClock) == -1s);
+}
+
 } // namespace parsleyloft
--- a/tests/router/key_orders_test.cpp
+++ b/tests/router/key_orders_test.cpp
@@ -26,7 +26,7 @@
         router.self.id = "h-1";
         router.members.leader = {"h-1", lease, 0, claim};
         router.leadership.lease = lease;
-        router.leadership.leaseValidUntil = monotonicNow() + 1min;
+        router.leadership.leaseValidUntil = timeAfter(hostTimeNow(), 1min);
         site_configuration configuration;
         configuration.services["ledger"] = {"ledger", true};
         router.routes.current = makeRouteTable(configuration);
@@ -96,7 +96,13 @@
     SECTION("with_the_lease")
     {
         const std::lock_guard guard(router.leadership.lock);
-        router.leadership.leaseValidUntil = monotonicNow();
+        router.leadership.leaseValidUntil.monotonic = monotonicNow();
+    }
+    // The monotonic clock has not counted the time in which the lease ended.
+    SECTION("with_the_lease_while_the_machine_was_suspended")
+    {
+        const std::lock_guard guard(router.leadership.lock);
+        router.leadership.leaseValidUntil.sinceBoot = hostTimeNow().sinceBoot;
     }
     SECTION("and_the_same_host_leads_again")
     {
--- a/transport/worker_pool.cpp
+++ b/transport/worker_pool.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <ctime>
 
 namespace parsleyloft {
 
@@ -61,4 +62,15 @@
     return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
 }
 
+auto hostTimeNow() -> host_time
+{
+    const auto monotonic = monotonicNow();
+    timespec sinceBoot{};
+    if (::clock_gettime(CLOCK_BOOTTIME, &sinceBoot) != 0)
+        return {monotonic, monotonic.time_since_epoch()};
+    return {monotonic,
+            std::chrono::duration_cast<duration>(std::chrono::seconds(sinceBoot.tv_sec)
+                                                 + std::chrono::nanoseconds(sinceBoot.tv_nsec))};
+}
+
 } // namespace parsleyloft
--- a/transport/worker_pool.h
+++ b/transport/worker_pool.h
@@ -1,7 +1,7 @@
 // A fixed pool of worker threads that run posted work and timers.
 #pragma once
 
-#include "core/time.h"
+#include "core/host_time.h"
 
 #include <functional>
 #include <memory>
@@ -36,4 +36,7 @@
 // The current time of the machine's monotonic clock.
 auto monotonicNow() -> instant;
 
+// The current time of both clocks, for what ends elsewhere while this machine is suspended.
+auto hostTimeNow() -> host_time;
+
 } // namespace parsleyloft
