Set aside server entries of services that are not configured

An entry under the key of a server that holds keys, with a service that no configuration in force names and a later start, replaced the server: callers of its keys lost it for good, and the leader took an answer from the entry's address for the holder's, so that two servers held the same keys.

Cause: recordServer took every entry that can be decoded. The entry with the latest start stands for its id for as long as a host runs, so the server's own next entries, with an earlier start, were ignored.

Such an entry now says nothing about the server of its id. It is kept aside and recorded, without a read, once a configuration names its service, because entries and configurations arrive in any order. The store no longer holds the server's own entry then, so the server is removed as for an entry that cannot be read, and is used again from its next announcement on. Keeping it instead was ruled out: the entry may hide that the server drains or has left, which hosts may learn of 1.5 s late, and requests must stop within 2 s. An entry whose service was removed from the configuration still counts for a server that is known under it, because requests of the earlier configuration may be running.

Before, server_serves_again_after_an_entry_of_an_unknown_service_replaced_its printed "mostHeld == 65536 with expansion: 98304 == 65536" and "timed out waiting until the server holds all keys". The test of a service that is configured after its server passed before too; it guards the new path.

--- a/decisions/route_table.cpp
+++ b/decisions/route_table.cpp
@@ -28,6 +28,18 @@
     return table;
 }
 
+auto namedServices(const site_configuration &configuration) -> std::set<service_name>
+{
+    std::set<service_name> names;
+    for (const auto &[name, settings] : configuration.services)
+        names.insert(name);
+    for (const auto &named : configuration.routes) {
+        for (const auto &part : named.services)
+            names.insert(part.service);
+    }
+    return names;
+}
+
 auto findRoute(const route_table &table, std::string_view host, std::string_view path)
         -> const route *
 {
--- a/decisions/route_table.h
+++ b/decisions/route_table.h
@@ -22,6 +22,9 @@
 
 auto makeRouteTable(site_configuration configuration) -> shared_routes;
 
+// The services that the configuration names, with settings of their own or in a route.
+auto namedServices(const site_configuration &configuration) -> std::set<service_name>;
+
 // The route of the host with the longest matching prefix of the path, or null. The host may include
 // a port and the path a query.
 auto findRoute(const route_table &table, std::string_view host, std::string_view path)
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -99,8 +99,41 @@
     return isRemoved(directory, record) || isReplaced(directory, record);
 }
 
+auto isServiceKnown(const server_directory &directory, const server_record &record) -> bool
+{
+    const auto known = directory.entries.find(record.id);
+    return directory.services.contains(record.service)
+            || (known != directory.entries.end() && known->second.record.service == record.service);
+}
+
+auto setAsideEntry(server_directory &directory, const server_record &record, instant now) -> bool
+{
+    const auto known = directory.setAside.find(record.id);
+    const auto repeated = known != directory.setAside.end() && known->second.record == record;
+    // Its remaining cold time counts from the first receipt.
+    const auto receivedAt = repeated ? known->second.receivedAt : now;
+    const auto removed = recordServerRemoved(directory, record.id, now);
+    directory.setAside[record.id] = {record, receivedAt, std::nullopt};
+    return removed;
+}
+
+auto replaceServices(server_directory &directory, std::set<service_name> services) -> bool
+{
+    directory.services = std::move(services);
+    std::vector<directory_entry> known;
+    for (const auto &[id, entry] : directory.setAside) {
+        if (directory.services.contains(entry.record.service))
+            known.push_back(entry);
+    }
+    auto changed = false;
+    for (const auto &entry : known)
+        changed = recordServer(directory, entry.record, entry.receivedAt) || changed;
+    return changed;
+}
+
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool
 {
+    directory.setAside.erase(record.id);
     auto &latest = directory.latestById[record.id];
     if (latest.startTimeMs > record.startTimeMs)
         return false;
@@ -130,6 +163,7 @@
 auto recordServerRemoved(server_directory &directory, const server_id &id, instant now) -> bool
 {
     directory.unconfirmed.erase(id);
+    directory.setAside.erase(id);
     const auto found = directory.entries.find(id);
     if (found == directory.entries.end())
         return false;
@@ -145,8 +179,9 @@
 auto retainServers(server_directory &directory, const std::set<server_id> &present, instant now)
         -> bool
 {
-    std::erase_if(directory.unconfirmed,
-                  [&](const auto &item) { return !present.contains(item.first); });
+    const auto isUnlisted = [&](const auto &item) { return !present.contains(item.first); };
+    std::erase_if(directory.unconfirmed, isUnlisted);
+    std::erase_if(directory.setAside, isUnlisted);
     std::vector<server_id> gone;
     for (const auto &[id, entry] : directory.entries) {
         if (!present.contains(id))
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -47,6 +47,12 @@
     // The incarnations whose answers stated that they leave, by id. Kept after an entry is removed:
     // such an incarnation never becomes usable again, whatever its entry says.
     std::map<server_id, std::int64_t> leavingStartById;
+    // The services that the configuration in force names. Empty while none is known.
+    std::set<service_name> services;
+    // Entries of services that the configuration in force does not name, by id. Any writer can make
+    // one under any id, so it says nothing about the server of that id until a configuration names
+    // its service.
+    std::map<server_id, directory_entry> setAside;
     std::set<domain_id> evacuated;
     // Domains that were evacuated when the store came back from an older copy that does not list
     // them. The operator evacuates them again before the grace period ends.
@@ -67,6 +73,18 @@
 // or was removed.
 auto isOutdated(const server_directory &directory, const server_record &record) -> bool;
 
+// True when the configuration in force names the service of the entry, or a server of that service
+// is known by the entry's id.
+auto isServiceKnown(const server_directory &directory, const server_record &record) -> bool;
+
+// Sets aside an entry of an unknown service. The store holds no other entry of its id, so the one
+// known is removed as by recordServerRemoved. Returns whether it was removed.
+auto setAsideEntry(server_directory &directory, const server_record &record, instant now) -> bool;
+
+// Replaces the services in force, and records the entries that were set aside for the new ones.
+// Returns whether there were any.
+auto replaceServices(server_directory &directory, std::set<service_name> services) -> bool;
+
 // Records an announcement. Returns whether anything but its age changed.
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool;
 
--- a/router/site_sync.cpp
+++ b/router/site_sync.cpp
@@ -21,6 +21,12 @@
     return {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
 }
 
+// Called with the directory's lock held, after each change.
+auto publishDirectoryVersion(router_process &router) -> void
+{
+    router.directory.version = router.directory.directory.version;
+}
+
 auto adoptConfiguration(router_process &router, const store_item &item) -> void
 {
     const auto inForce = currentRoutes(router);
@@ -35,12 +41,14 @@
     const auto version = decoded->configuration.version;
     const auto limits = toHttpLimits(decoded->configuration.limits);
     {
-        const std::lock_guard guard(router.routes.lock);
+        const std::scoped_lock guard(router.routes.lock, router.directory.lock);
         auto &current = router.routes.current;
         if (current && current->configuration.version >= version)
             return;
         current = makeRouteTable(std::move(decoded->configuration));
         router.routes.defects = decoded->defects;
+        if (replaceServices(router.directory.directory, namedServices(current->configuration)))
+            publishDirectoryVersion(router);
     }
     for (const auto &defect : decoded->defects) {
         logEvent(log_level::Warn, "configuration_item_defective",
@@ -53,12 +61,6 @@
               {"revision", std::to_string(item.position.revision)}});
 }
 
-// Called with the directory's lock held, after each change.
-auto publishDirectoryVersion(router_process &router) -> void
-{
-    router.directory.version = router.directory.directory.version;
-}
-
 auto applyEvacuation(router_process &router, const domain_id &domain, bool out) -> void
 {
     const std::lock_guard guard(router.directory.lock);
@@ -102,6 +104,19 @@
               {"kept", changed ? "no" : "yes"}});
 }
 
+// Called with the directory's lock held.
+auto applyUnknownService(router_process &router, const store_item &item,
+                         const server_record &record) -> void
+{
+    const auto removed = setAsideEntry(router.directory.directory, record, monotonicNow());
+    publishDirectoryVersion(router);
+    logEvent(removed ? log_level::Warn : log_level::Info, "server_entry_of_unknown_service",
+             {{"server", record.id},
+              {"service", record.service},
+              {"removed", removed ? "yes" : "no"},
+              {"revision", std::to_string(item.position.revision)}});
+}
+
 auto applyServerItem(router_process &router, const store_item &item) -> void
 {
     if (item.deleted) {
@@ -118,6 +133,10 @@
     }
     const std::lock_guard guard(router.directory.lock);
     auto &directory = router.directory.directory;
+    if (!isServiceKnown(directory, *record)) {
+        applyUnknownService(router, item, *record);
+        return;
+    }
     if (isOutdated(directory, *record))
         logEvent(log_level::Info, "server_entry_outdated",
                  {{"server", record->id},
--- a/tests/decisions/route_table_test.cpp
+++ b/tests/decisions/route_table_test.cpp
@@ -42,6 +42,14 @@
 
 } // namespace
 
+TEST_CASE_METHOD(table_with_two_routes,
+                 "configuration_names_the_services_of_its_routes_and_its_own", "[route_table]")
+{
+    auto configuration = table->configuration;
+    configuration.services["four"].name = "four";
+    CHECK(namedServices(configuration) == std::set<service_name>{"one", "two", "three", "four"});
+}
+
 TEST_CASE_METHOD(table_with_two_routes, "path_under_two_prefixes_takes_the_longer_one",
                  "[route_table]")
 {
--- a/tests/decisions/server_directory_test.cpp
+++ b/tests/decisions/server_directory_test.cpp
@@ -110,6 +110,103 @@
     CHECK(isUsable(directory, directory.entries.at("s1")));
 }
 
+namespace {
+
+// An entry that another writer has put in the place of the server's own.
+struct directory_with_an_entry_of_another_writer : directory_with_a_server
+{
+    directory_with_an_entry_of_another_writer()
+    {
+        record.sequence = 7;
+        recordServer(directory, record, now);
+        replaceServices(directory, {"orders"});
+        odd.service = "bakery";
+        odd.address = {"10.0.0.9", 80};
+        odd.startTimeMs = 9000;
+        odd.warmupLeft = 3s;
+        removed = setAsideEntry(directory, odd, now + 1s);
+    }
+
+    auto isUsed(const server_record &wanted) const -> bool
+    {
+        const auto found = directory.entries.find(wanted.id);
+        return found != directory.entries.end() && found->second.record == wanted
+                && isUsable(directory, found->second);
+    }
+
+    server_record odd = record;
+    bool removed = false;
+};
+
+} // namespace
+
+// Guards against the loss of a server for good, and of its keys to a second holder.
+TEST_CASE_METHOD(directory_with_an_entry_of_another_writer,
+                 "entry_of_an_unknown_service_says_nothing_about_the_server_of_its_id",
+                 "[directory]")
+{
+    CHECK_FALSE(isServiceKnown(directory, odd));
+    CHECK_FALSE(isSuperseded(directory, "s1", record.startTimeMs));
+    CHECK(directory.latestById.at("s1").address == record.address);
+    // The store does not list the server, which may have left.
+    CHECK(removed);
+    CHECK_FALSE(has("s1"));
+    SECTION("and_the_server_is_used_again_when_it_announces_itself")
+    {
+        record.sequence = 8;
+        CHECK(isServiceKnown(directory, record));
+        CHECK(recordServer(directory, record, now + 2s));
+        CHECK(isUsed(record));
+        CHECK_FALSE(replaceServices(directory, {"bakery", "orders"}));
+        CHECK(isUsed(record));
+    }
+    SECTION("and_is_recorded_as_received_once_a_configuration_names_the_service")
+    {
+        CHECK_FALSE(setAsideEntry(directory, odd, now + 2s));
+        CHECK(replaceServices(directory, {"bakery", "orders"}));
+        CHECK(isUsed(odd));
+        CHECK(coldUntil(directory.entries.at("s1")) == now + 4s);
+        CHECK(isSuperseded(directory, "s1", record.startTimeMs));
+        CHECK(directory.setAside.empty());
+    }
+    SECTION("and_is_forgotten_when_it_is_removed")
+    {
+        CHECK_FALSE(recordServerRemoved(directory, "s1", now + 2s));
+        CHECK_FALSE(replaceServices(directory, {"bakery", "orders"}));
+        CHECK_FALSE(has("s1"));
+    }
+    SECTION("and_is_forgotten_when_a_listing_lacks_it")
+    {
+        CHECK_FALSE(retainServers(directory, {}, now + 2s));
+        CHECK_FALSE(replaceServices(directory, {"bakery", "orders"}));
+        CHECK_FALSE(has("s1"));
+    }
+}
+
+// Servers' entries may be read before the configuration.
+TEST_CASE("entries_read_before_the_configuration_are_used_once_it_is_known", "[directory]")
+{
+    const server_record record{"s1", "orders", {"10.0.0.1", 80}, "a", 3, false, 0us, 1000};
+    server_directory directory;
+    REQUIRE_FALSE(isServiceKnown(directory, record));
+    setAsideEntry(directory, record, instant{1h});
+    CHECK(directory.entries.empty());
+    CHECK(replaceServices(directory, {"orders"}));
+    CHECK(isUsable(directory, directory.entries.at("s1")));
+}
+
+// Requests that began under an earlier configuration may still be sent to the server.
+TEST_CASE_METHOD(directory_with_a_server,
+                 "server_that_drains_is_unusable_if_its_service_was_removed", "[directory]")
+{
+    replaceServices(directory, {"orders"});
+    replaceServices(directory, {});
+    record.draining = true;
+    REQUIRE(isServiceKnown(directory, record));
+    recordServer(directory, record, now + 1s);
+    CHECK_FALSE(isUsable(directory, directory.entries.at("s1")));
+}
+
 TEST_CASE_METHOD(directory_with_a_server,
                  "incarnation_is_superseded_by_a_later_one_with_its_id_alone", "[directory]")
 {
--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -1,5 +1,7 @@
 // Routing hosts as processes: complete answers, correct refusals, changes of configuration and
 // servers, and failures of servers, the store and hosts.
+#include "codec/json.h"
+#include "generated/site.pb.h"
 #include "support/site_cluster.h"
 
 #include <catch2/catch.hpp>
@@ -355,6 +357,63 @@
     CHECK(metrics.find("parsleyloft_defective_items_total{item=\"server\"}") != std::string::npos);
 }
 
+// Guards against the loss of a server for good, and against a second holder of its keys, because of
+// an entry under its key that any writer can make.
+TEST_CASE_METHOD(two_hosts, "server_serves_again_after_an_entry_of_an_unknown_service_replaced_its")
+{
+    wire::SiteServer entry;
+    REQUIRE(readLenientJson(findItem(*store, "servers/shop-b").value(), entry));
+    entry.set_service("bakery");
+    entry.set_born(9000);
+    putItem(*store, "servers/ledger-a", toJson(entry));
+    std::size_t mostHeld = 0;
+    const auto end = monotonicNow() + 1s;
+    while (monotonicNow() < end) {
+        // Keys move to the server that is counted first, so that none is counted twice.
+        const auto heldByOther = countHeldKeys(servers.at("ledger-b"));
+        mostHeld = std::max(mostHeld, heldByOther + countHeldKeys(servers.at("ledger-a")));
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK(mostHeld == 65536);
+    for (std::uint32_t key = 0; key < 65536; key += 4099)
+        waitUntil("the key is served", [&] { return statusOf(0, keyedCall(key)) == 200; });
+    publishServerState(servers.at("ledger-a"), *store, false);
+    putItem(*store, "op/evacuate/b", "{}");
+    waitUntil("the server holds all keys",
+              [&] { return countHeldKeys(servers.at("ledger-a")) == 65536; });
+    for (std::uint32_t key = 0; key < 65536; key += 4099)
+        waitUntil("the key is served", [&] { return statusOf(1, keyedCall(key)) == 200; });
+}
+
+// Guards against servers that stay unused because they announced themselves before the operator's
+// configuration named their service.
+TEST_CASE_METHOD(two_hosts, "server_announced_before_its_service_is_configured_serves_after_it")
+{
+    const auto port = static_cast<std::uint16_t>(ports.firstPort + 20);
+    auto started = startKeyedServer(*workers, *store, {"127.0.0.1", port},
+                                    {"bakery-a", "bakery", "a", 3, false, 1004});
+    REQUIRE(started);
+    servers["bakery-a"] = *started;
+    waitUntil("both hosts have read the entry", [&] {
+        return outputOf(*this, 0).find("bakery") != std::string::npos
+                && outputOf(*this, 1).find("bakery") != std::string::npos;
+    });
+    wire::SiteConfiguration configuration;
+    REQUIRE(readLenientJson(findItem(*store, "op/config").value(), configuration));
+    configuration.set_version(2);
+    configuration.add_services()->set_name("bakery");
+    auto *added = configuration.add_routes();
+    *added = configuration.routes(0);
+    added->set_name("bakery");
+    added->set_prefix("/bakery/");
+    added->set_service("bakery");
+    putItem(*store, "op/config", toJson(configuration));
+    caller_call call;
+    call.target = "/bakery/loaf";
+    for (int host = 0; host < 2; ++host)
+        waitUntil("the new service is served", [&] { return statusOf(host, call) == 200; });
+}
+
 // One route of a kind that the host does not know must not take the other routes out of service.
 TEST_CASE_METHOD(two_hosts, "odd_item_of_a_configuration_affects_that_item_only")
 {
