Order the incarnations of a server by their positions in the store

A server that started again after its clock had been set back was never used: its entry was ignored for as long as a host ran, and its predecessor counted as running, so that grants went on under the fences of the earlier incarnation. The same held for a server under whose key another writer had put a complete entry with a later start.

Cause: the incarnations of an id were ordered by start times, which come from the clocks of the servers' machines.

Within one era of the store its positions only rise, so the entry that was written later now is the one of the later incarnation. Across eras, and where a position is not known, start times decide as before, because a copy may list an earlier incarnation. The starts of replaced and of leaving incarnations are kept as sets, because the latest one need not have the highest start. The cost: a late write of a predecessor replaces its successor until that one writes again.

Before, the new cases of server_directory_test printed "CHECK( recordServer(directory, restarted, now + 1s) ) with expansion: false", and server_started_again_after_its_clock_was_set_back_is_used "timed out waiting until the server gets requests". The decoder's test compares the position too.

--- a/core/site.h
+++ b/core/site.h
@@ -5,6 +5,7 @@
 #include "core/endpoint.h"
 #include "core/identifiers.h"
 #include "core/names.h"
+#include "core/store_position.h"
 #include "core/time.h"
 
 #include <map>
@@ -105,11 +106,13 @@
     bool draining = false;
     // The remaining cold time when the record was written.
     duration warmupLeft = 0us;
-    // The start time of this incarnation in Unix milliseconds. A later incarnation with the same id
-    // has a higher one.
+    // The start time of this incarnation in Unix milliseconds, by its machine's clock. A later
+    // incarnation with the same id has a higher one, unless the clock was set back.
     std::int64_t startTimeMs = 0;
     // Rises with each announcement of an incarnation.
     std::uint64_t sequence = 0;
+    // Where the store holds the record. Revision 0 when that is not known.
+    store_position position{};
 
     auto operator==(const server_record &) const -> bool = default;
 };
--- a/decisions/server_directory.cpp
+++ b/decisions/server_directory.cpp
@@ -11,6 +11,7 @@
 auto hasSameContent(const server_record &left, server_record right) -> bool
 {
     right.sequence = left.sequence;
+    right.position = left.position;
     return left == right;
 }
 
@@ -29,11 +30,27 @@
             && known->second.record.sequence > record.sequence;
 }
 
+// The store may hold the same announcement at another position after its return from a copy.
+auto isSameAnnouncement(const server_record &left, const server_record &right) -> bool
+{
+    return left.sequence == right.sequence && hasSameContent(left, right);
+}
+
 // Its remaining cold time counts from the first receipt.
 auto isRepeated(const server_directory &directory, const server_record &record) -> bool
 {
     const auto known = directory.entries.find(record.id);
-    return known != directory.entries.end() && known->second.record == record;
+    return known != directory.entries.end() && isSameAnnouncement(known->second.record, record);
+}
+
+// Clocks that start times are taken from may be set back, but within one era the store's positions
+// only rise.
+auto isOfEarlierIncarnation(const server_incarnation &latest, const server_record &record) -> bool
+{
+    const auto hasPositions = latest.position.revision != 0 && record.position.revision != 0;
+    if (hasPositions && latest.position.era == record.position.era)
+        return record.position < latest.position;
+    return record.startTimeMs < latest.startTimeMs;
 }
 
 auto setEntry(server_directory &directory, const directory_entry &next) -> bool
@@ -109,7 +126,8 @@
 auto setAsideEntry(server_directory &directory, const server_record &record, instant now) -> bool
 {
     const auto known = directory.setAside.find(record.id);
-    const auto repeated = known != directory.setAside.end() && known->second.record == record;
+    const auto repeated =
+            known != directory.setAside.end() && isSameAnnouncement(known->second.record, record);
     // Its remaining cold time counts from the first receipt.
     const auto receivedAt = repeated ? known->second.receivedAt : now;
     const auto removed = recordServerRemoved(directory, record.id, now);
@@ -135,9 +153,13 @@
 {
     directory.setAside.erase(record.id);
     auto &latest = directory.latestById[record.id];
-    if (latest.startTimeMs > record.startTimeMs)
+    if (isOfEarlierIncarnation(latest, record))
         return false;
-    latest = {record.startTimeMs, record.address};
+    auto &replaced = directory.replacedStartsById[record.id];
+    if (latest.startTimeMs != 0)
+        replaced.insert(latest.startTimeMs);
+    replaced.erase(record.startTimeMs);
+    latest = {record.startTimeMs, record.address, record.position};
     if (isReplaced(directory, record) || isRepeated(directory, record))
         return clearMissing(directory, record.id);
     if (isRemoved(directory, record)) {
@@ -152,10 +174,8 @@
 auto recordServerLeaving(server_directory &directory, const server_id &id, std::int64_t startTimeMs)
         -> bool
 {
-    const auto known = directory.leavingStartById.find(id);
-    if (known != directory.leavingStartById.end() && known->second >= startTimeMs)
+    if (!directory.leavingStartsById[id].insert(startTimeMs).second)
         return false;
-    directory.leavingStartById[id] = startTimeMs;
     ++directory.version;
     return true;
 }
@@ -247,8 +267,9 @@
 
 auto isUsable(const server_directory &directory, const directory_entry &entry) -> bool
 {
-    const auto leaving = directory.leavingStartById.find(entry.record.id);
-    if (leaving != directory.leavingStartById.end() && leaving->second == entry.record.startTimeMs)
+    const auto leaving = directory.leavingStartsById.find(entry.record.id);
+    if (leaving != directory.leavingStartsById.end()
+        && leaving->second.contains(entry.record.startTimeMs))
         return false;
     return !entry.record.draining && !directory.evacuated.contains(entry.record.domain);
 }
@@ -262,7 +283,9 @@
         -> bool
 {
     const auto latest = directory.latestById.find(id);
-    return latest != directory.latestById.end() && latest->second.startTimeMs > startTimeMs;
+    return latest != directory.latestById.end()
+            && (latest->second.startTimeMs > startTimeMs
+                || directory.replacedStartsById.at(id).contains(startTimeMs));
 }
 
 } // namespace parsleyloft
--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -29,10 +29,12 @@
 {
     std::int64_t startTimeMs = 0;
     endpoint address;
+    store_position position{};
 };
 
 // Invariant: an entry is never replaced by an earlier incarnation of its server, nor by an earlier
-// announcement of the same incarnation.
+// announcement of the same incarnation. Within one era of the store, the later write is by the
+// later incarnation. Across eras the later start time shows it.
 struct server_directory
 {
     std::map<server_id, directory_entry> entries;
@@ -44,9 +46,11 @@
     // The latest incarnation known for each id. Kept after an entry is removed, so that an ended
     // incarnation is never accepted again.
     std::map<server_id, server_incarnation> latestById;
-    // The incarnations whose answers stated that they leave, by id. Kept after an entry is removed:
-    // such an incarnation never becomes usable again, whatever its entry says.
-    std::map<server_id, std::int64_t> leavingStartById;
+    // The start times of the incarnations that a later one has replaced, by id.
+    std::map<server_id, std::set<std::int64_t>> replacedStartsById;
+    // The start times of the incarnations whose answers stated that they leave, by id. Kept after
+    // an entry is removed: such an incarnation never becomes usable again, whatever its entry says.
+    std::map<server_id, std::set<std::int64_t>> leavingStartsById;
     // The services that the configuration in force names. Empty while none is known.
     std::set<service_name> services;
     // Entries of services that the configuration in force does not name, by id. Any writer can make
--- a/tests/decisions/server_directory_test.cpp
+++ b/tests/decisions/server_directory_test.cpp
@@ -74,6 +74,85 @@
     CHECK(isUsable(directory, directory.entries.at("s1")));
 }
 
+namespace {
+
+// A server that was started after its clock had been set back, or after an entry of another writer
+// with a later start.
+struct directory_with_an_earlier_start : directory_with_a_server
+{
+    directory_with_an_earlier_start()
+    {
+        record.startTimeMs = 2000;
+        record.sequence = 7;
+        record.position = {1, 50};
+        recordServer(directory, record, now);
+        restarted.startTimeMs = 1500;
+        restarted.sequence = 1;
+        restarted.position = {1, 60};
+    }
+
+    auto isUsed(const server_record &wanted) const -> bool
+    {
+        const auto found = directory.entries.find(wanted.id);
+        return found != directory.entries.end() && found->second.record == wanted
+                && isUsable(directory, found->second);
+    }
+
+    server_record restarted = record;
+};
+
+} // namespace
+
+// Guards against a server that is out of use for good, while its predecessor counts as running.
+TEST_CASE_METHOD(directory_with_an_earlier_start,
+                 "incarnation_written_later_in_the_same_era_is_used_though_it_started_earlier",
+                 "[directory]")
+{
+    SECTION("after_the_other_one")
+    {
+        CHECK(recordServer(directory, restarted, now + 1s));
+        CHECK(isUsed(restarted));
+        CHECK(isSuperseded(directory, "s1", record.startTimeMs));
+        CHECK_FALSE(isSuperseded(directory, "s1", restarted.startTimeMs));
+    }
+    SECTION("as_it_was_before_the_other_one")
+    {
+        recordServer(directory, restarted, now + 1s);
+        record.position = {1, 70};
+        CHECK(recordServer(directory, record, now + 2s));
+        CHECK(isUsed(record));
+        CHECK_FALSE(isSuperseded(directory, "s1", record.startTimeMs));
+        CHECK(isSuperseded(directory, "s1", restarted.startTimeMs));
+    }
+    SECTION("after_the_removal_of_the_other_one")
+    {
+        recordServerRemoved(directory, "s1", now + 1s);
+        CHECK(recordServer(directory, restarted, now + 1s));
+        CHECK(isUsed(restarted));
+    }
+    SECTION("until_its_answers_state_that_it_leaves")
+    {
+        recordServerLeaving(directory, "s1", record.startTimeMs);
+        recordServer(directory, restarted, now + 1s);
+        CHECK(isUsed(restarted));
+        CHECK(recordServerLeaving(directory, "s1", restarted.startTimeMs));
+        CHECK_FALSE(isUsed(restarted));
+    }
+}
+
+// Revisions are given out again in a new era, and an older copy may list an earlier incarnation.
+TEST_CASE_METHOD(directory_with_an_earlier_start,
+                 "incarnation_that_started_earlier_is_ignored_in_a_later_era", "[directory]")
+{
+    restarted.position = {2, 60};
+    CHECK_FALSE(recordServer(directory, restarted, now + 1s));
+    CHECK(isUsed(record));
+    // The store lists the server's own entry again.
+    record.position = {2, 61};
+    CHECK_FALSE(recordServer(directory, record, now + 1s));
+    CHECK(directory.latestById.at("s1").startTimeMs == record.startTimeMs);
+}
+
 TEST_CASE_METHOD(directory_with_a_server, "removed_entry_is_dropped_at_once", "[directory]")
 {
     CHECK(recordServerRemoved(directory, "s1", now));
--- a/tests/platform/site_decoder_test.cpp
+++ b/tests/platform/site_decoder_test.cpp
@@ -42,7 +42,8 @@
                            false,
                            1500ms,
                            1767225600123,
-                           4});
+                           4,
+                           {0, 5}});
     replace("ready", "draining");
     CHECK(decode()->draining);
 }
--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -385,6 +385,21 @@
         waitUntil("the key is served", [&] { return statusOf(1, keyedCall(key)) == 200; });
 }
 
+// Guards against a server that is out of use for good, while its predecessor counts as running.
+TEST_CASE_METHOD(two_hosts, "server_started_again_after_its_clock_was_set_back_is_used")
+{
+    const auto port = static_cast<std::uint16_t>(ports.firstPort + 20);
+    auto started = startKeyedServer(*workers, *store, {"127.0.0.1", port},
+                                    {"shop-a", "shop", "a", 3, false, 900});
+    REQUIRE(started);
+    servers["shop-a-again"] = *started;
+    // The host prefers the servers of its own domain.
+    waitUntil("the server gets requests", [&] {
+        statusOf(0, {});
+        return countArrivals(*started) > 0;
+    });
+}
+
 // Guards against servers that stay unused because they announced themselves before the operator's
 // configuration named their service.
 TEST_CASE_METHOD(two_hosts, "server_announced_before_its_service_is_configured_serves_after_it")
