--- a/decisions/server_directory.h
+++ b/decisions/server_directory.h
@@ -29,10 +29,12 @@
 {
     std::int64_t startTimeMs = 0;
     endpoint address;
+    store_position position{};
 };
 
 // Invariant: an entry is never replaced by an earlier incarnation of its server, nor by an earlier
-// announcement of the same incarnation.
+// announcement of the same incarnation. Within one era of the store, the later write is by the
+// later incarnation. Across eras the later start time shows it.
 struct server_directory
 {
     std::map<server_id, directory_entry> entries;
@@ -44,9 +46,17 @@
     // The latest incarnation known for each id. Kept after an entry is removed, so that an ended
     // incarnation is never accepted again.
     std::map<server_id, server_incarnation> latestById;
-    // The incarnations whose answers stated that they leave, by id. Kept after an entry is removed:
-    // such an incarnation never becomes usable again, whatever its entry says.
-    std::map<server_id, std::int64_t> leavingStartById;
+    // The start times of the incarnations that a later one has replaced, by id.
+    std::map<server_id, std::set<std::int64_t>> replacedStartsById;
+    // The start times of the incarnations whose answers stated that they leave, by id. Kept after
+    // an entry is removed: such an incarnation never becomes usable again, whatever its entry says.
+    std::map<server_id, std::set<std::int64_t>> leavingStartsById;
+    // The services that the configuration in force names. Empty while none is known.
+    std::set<service_name> services;
+    // Entries of services that the configuration in force does not name, by id. Any writer can make
+    // one under any id, so it says nothing about the server of that id until a configuration names
+    // its service.
+    std::map<server_id, directory_entry> setAside;
     std::set<domain_id> evacuated;
     // Domains that were evacuated when the store came back from an older copy that does not list
     // them. The operator evacuates them again before the grace period ends.
@@ -67,6 +77,18 @@
 // or was removed.
 auto isOutdated(const server_directory &directory, const server_record &record) -> bool;
 
+// True when the configuration in force names the service of the entry, or a server of that service
+// is known by the entry's id.
+auto isServiceKnown(const server_directory &directory, const server_record &record) -> bool;
+
+// Sets aside an entry of an unknown service. The store holds no other entry of its id, so the one
+// known is removed as by recordServerRemoved. Returns whether it was removed.
+auto setAsideEntry(server_directory &directory, const server_record &record, instant now) -> bool;
+
+// Replaces the services in force, and records the entries that were set aside for the new ones.
+// Returns whether there were any.
+auto replaceServices(server_directory &directory, std::set<service_name> services) -> bool;
+
 // Records an announcement. Returns whether anything but its age changed.
 auto recordServer(server_directory &directory, const server_record &record, instant now) -> bool;
 
