--- a/tests/router/key_orders_test.cpp
+++ b/tests/router/key_orders_test.cpp
@@ -60,7 +60,7 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
             const std::lock_guard guard(router.leadership.lock);
             const auto &state = router.leadership.managed.at("ledger").manager.states.at(0);
-            if (!state.orderInFlight)
+            if (!state.inFlight)
                 return state;
         }
         FAIL("the order has no result");
