Move the check of one owner beside the fixtures

Tests other than those of a restored store need it. No change to what it checks; keys_moved_before_a_restore_keep_one_owner and keys_moved_between_two_restores_keep_one_owner pass.

--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -1,13 +1,13 @@
 // Routing hosts while the metadata store returns from a copy that is some seconds old: what hosts
 // wrote since is gone, revisions go back and are given out again, and what operators and servers
 // wrote is written again.
+#include "support/owner_breaches.h"
 #include "support/site_cluster.h"
 
 #include <catch2/catch.hpp>
 
 #include <csignal>
 #include <functional>
-#include <set>
 #include <sys/wait.h>
 #include <thread>
 
@@ -29,36 +29,6 @@
 
 enum class leader_loss : std::uint8_t { None, BeforeTheMove, AfterTheReturn };
 
-auto overlap(const key_hold &left, const key_hold &right) -> bool
-{
-    return left.from <= right.to && right.from <= left.to;
-}
-
-// What breaks the rule of one owner among the holds of two servers: keys that both held at the same
-// time, and keys that one took with a fence that is not above the other's earlier one.
-auto ownerBreaches(const std::vector<key_hold> &left, const std::vector<key_hold> &right)
-        -> std::set<std::string>
-{
-    std::set<std::string> breaches;
-    for (const auto &one : left) {
-        for (const auto &other : right) {
-            if (!overlap(one, other))
-                continue;
-            const auto &first = one.since < other.since ? one : other;
-            const auto &second = one.since < other.since ? other : one;
-            const auto keys = std::to_string(std::max(one.from, other.from)) + "-"
-                    + std::to_string(std::min(one.to, other.to));
-            const auto fences = " under fence " + std::to_string(first.fence) + ", then "
-                    + std::to_string(second.fence);
-            if (second.since < first.until)
-                breaches.insert("two servers held the keys " + keys + fences);
-            if (second.fence <= first.fence)
-                breaches.insert("a lower fence for the keys " + keys + fences);
-        }
-    }
-    return breaches;
-}
-
 struct restored_site : site_cluster
 {
     auto statusAt(int host, const std::string &target) -> unsigned
