Test entries with another address under an owner's key

Seen with six servers and ten hosts: the keys of a server that holds them are granted to others about 0.1 s after such an entry is written, and both hold them for over half a second (OWNER). All hosts were in touch, so none sent the earlier holder further requests.

The leader assigns the keys to ledger-b, sends the releases to the address in the entry, logs them with result=other_server and grants the keys 0.04 s later.

--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -258,24 +258,35 @@
 
 auto publishServerState(keyed_server_stand_in &server, store_stand_in &store, bool draining) -> void
 {
-    const auto &options = server.impl->options;
+    std::uint32_t sequence = 0;
+    {
+        const std::lock_guard guard(server.impl->lock);
+        sequence = ++server.impl->announcements;
+    }
+    putServerEntry(store, server.impl->options, server.impl->address, sequence, draining);
+}
+
+auto putServerEntry(store_stand_in &store, const keyed_server_options &options,
+                    const endpoint &address, std::uint32_t sequence, bool draining) -> void
+{
     wire::SiteServer entry;
     entry.set_service(options.service);
-    entry.set_address(server.impl->address.address + ":"
-                      + std::to_string(server.impl->address.port));
+    entry.set_address(address.address + ":" + std::to_string(address.port));
     entry.set_zone(options.domain);
     entry.set_slots(options.slots);
     entry.set_state(draining ? "draining" : "ready");
     entry.set_warmup_left_ms(0);
     entry.set_born(options.startTimeMs);
     entry.set_version("v1");
-    {
-        const std::lock_guard guard(server.impl->lock);
-        entry.set_seq(++server.impl->announcements);
-    }
+    entry.set_seq(sequence);
     putItem(store, "servers/" + options.id, toJson(entry));
 }
 
+auto addressOf(const keyed_server_stand_in &server) -> endpoint
+{
+    return server.impl->address;
+}
+
 auto servedRequests(keyed_server_stand_in &server) -> std::vector<served_request>
 {
     const std::lock_guard guard(server.impl->lock);
--- a/lab/keyed_server_stand_in.h
+++ b/lab/keyed_server_stand_in.h
@@ -70,6 +70,14 @@
 auto publishServerState(keyed_server_stand_in &server, store_stand_in &store, bool draining)
         -> void;
 
+// Writes an entry to the store, under the id of the options. Any writer may name any service and
+// address there.
+auto putServerEntry(store_stand_in &store, const keyed_server_options &options,
+                    const endpoint &address, std::uint32_t sequence = 1, bool draining = false)
+        -> void;
+
+auto addressOf(const keyed_server_stand_in &server) -> endpoint;
+
 // The requests that the server has run.
 auto servedRequests(keyed_server_stand_in &server) -> std::vector<served_request>;
 
