Test a second server under an owner's id

Its entry has a later start, so the leader sends it the release of the first, its 200 counts as the holder's, and its keys are granted 0.1 s later while the first holds them for over half a second.

--- a/tests/process/key_holder_entries_test.cpp
+++ b/tests/process/key_holder_entries_test.cpp
@@ -50,6 +50,23 @@
 
 } // namespace
 
+// Guards against a second holder: a server at another address, under the id of a server that holds
+// keys and still runs, was sent its release, and its answer counted as the holder's.
+TEST_CASE_METHOD(key_holders, "second_server_under_an_owners_id_leaves_its_keys_with_one_owner")
+{
+    REQUIRE(countHeldKeys(servers.at("ledger-a")) > 0);
+    const auto port = static_cast<std::uint16_t>(ports.firstPort + 20);
+    auto started = startKeyedServer(*workers, *store, {"127.0.0.1", port},
+                                    {"ledger-a", "ledger", "a", 3, true, laterStartMs});
+    REQUIRE(started);
+    servers["ledger-a-again"] = *started;
+    requestKeysFor(observed);
+    for (const auto *other : {"ledger-a-again", "ledger-b"})
+        CHECK(ownerBreaches(heldKeys(servers.at("ledger-a")), heldKeys(servers.at(other)))
+              == std::set<std::string>());
+    waitUntil("all keys are served", [&] { return areKeysServed(0) && areKeysServed(1); });
+}
+
 // Guards against a second holder of the keys of a server that holds them: its release was sent to
 // the address in the entry, where another server refused it, which counted as the holder's end.
 TEST_CASE_METHOD(key_holders,
