Start the fences of each claim above those of earlier claims

What callers would see: a server takes a key with a fence that another server had, or with a lower one (OWNER), and grants that are refused until all earlier ones have expired.

Cause: fences of an era began at a fixed number and then rose with the table in the store. A write of an earlier era without an answer can still be carried out when revisions are given out again, and replaces the leader's table. A successor that reads it, and has not followed the leader to its last table, assigned the fences of the era from the start again.

Fences of a claim now start at the era, then the revision of the claim, and one write of the table assigns one fence number, on different keys. A write adds at least one revision, so each stored fence is below the store's revision at that time, and so below the next claim, whatever table is read.

Weighed: numbers for each slice with the claim's revision scaled by a bound on slices (16 bits for the slices leave 32,768 revisions of an era within 10^15); a counter of fences beside the table in the leader's key (a second thing that the same late write may put back); waiting until all holds have ended (does not make fences rise). Shared numbers are safe because a fence is compared on one key only.

The test failed before: " (0x200000000) > (0x20000002b)". The tests that took 8 for the last fence of the first table now take the table's next fence: the bound is as strict.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -147,7 +147,7 @@
         slice.to = index + 1 == count ? lastKey : slice.from + width - 1;
         slice.phase = slice_phase::Pending;
         slice.owner = receiver->owner;
-        slice.fence = table.nextFence++;
+        slice.fence = table.nextFence;
         receiver->share.actual += shareOf(slice, {});
         table.slices.push_back(slice);
     }
@@ -159,7 +159,7 @@
 {
     slice.previous = previous;
     slice.owner = owner;
-    slice.fence = table.nextFence++;
+    slice.fence = table.nextFence;
     slice.phase = slice_phase::Pending;
 }
 
@@ -396,12 +396,15 @@
     return limits.callTimeout + maxHoldAtServer(limits);
 }
 
-auto firstFenceOf(store_era era) -> fence_number
+auto firstFenceOf(store_position claim) -> fence_number
 {
     // Fences are sent as JSON numbers, which are written without an exponent below 10^15.
     constexpr store_era maxNumberedEra = 100'000;
     constexpr unsigned fenceBitsPerEra = 32;
-    return std::min(era, maxNumberedEra) << fenceBitsPerEra;
+    // Leaves the upper half of the fences of an era to the tables written under its last claim.
+    constexpr store_revision maxNumberedRevision = store_revision(1) << (fenceBitsPerEra - 1);
+    return (std::min(claim.era, maxNumberedEra) << fenceBitsPerEra)
+            + std::min(claim.revision, maxNumberedRevision);
 }
 
 auto makeOwnershipManager(const ownership_limits &limits, ownership_table table,
@@ -412,7 +415,7 @@
     ownership_manager manager{limits, std::move(table), {}, now + settleTime};
     manager.table.leaderRevision = leaderRevision;
     manager.table.sequence = 0;
-    manager.table.nextFence = std::max(manager.table.nextFence, firstFenceOf(leaderRevision.era));
+    manager.table.nextFence = std::max(manager.table.nextFence, firstFenceOf(leaderRevision));
     for (const auto &slice : manager.table.slices) {
         auto &state = manager.states[slice.from];
         state.ownerGrantEnds = now + longestHold(limits);
@@ -537,6 +540,7 @@
     }
     if (!changed)
         return std::nullopt;
+    ++table.nextFence;
     ++table.sequence;
     return table;
 }
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -81,6 +81,7 @@
     // written, then by their sequence number.
     store_position leaderRevision;
     std::uint64_t sequence = 0;
+    // The fence of the owners that the next change of the table assigns, each on other keys.
     fence_number nextFence = 1;
     std::vector<key_slice> slices;
     // Stored, so that a leader whose predecessor was still waiting for lost grants waits too.
@@ -224,9 +225,10 @@
 // What a table that was known to be the latest one this long ago may lack.
 auto lostDecisionsFor(const ownership_limits &limits, duration tableAge) -> lost_decisions;
 
-// The lowest fence that may be assigned in an era of the store. Fences are not reused, although the
-// store may have lost the table with the highest one.
-auto firstFenceOf(store_era era) -> fence_number;
+// The lowest fence that may be assigned under a leader's claim. Fences are not reused, although the
+// store may have lost the table with the highest one: each stored table adds at most one fence and
+// one revision, so those of earlier claims in the era are below the revision of this one.
+auto firstFenceOf(store_position claim) -> fence_number;
 
 // Like makeOwnershipManager, after the store has come back from an older copy: with the latest
 // table that is known. The previous leader may not know of the new era and send orders until
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -22,6 +22,7 @@
         now += 1s;
         planAndStore();
         grantAll();
+        firstUnusedFence = manager.table.nextFence;
     }
 
     auto planAndStore() -> bool
@@ -84,6 +85,7 @@
     server_record second{"s2", "ledger", {"10.0.0.2", 80}, "a", 3, false, 0us, 1001};
     server_directory directory;
     ownership_manager manager;
+    fence_number firstUnusedFence = 0;
 };
 
 auto selectSeeds(std::uint64_t count) -> std::vector<std::uint64_t>
@@ -152,7 +154,7 @@
     for (; now < granted + limits.hold; now += 100ms) {
         for (const auto &order : orders()) {
             if (order.server.id == "s2")
-                CHECK(order.fence <= 8);
+                CHECK(order.fence < firstUnusedFence);
             recordOrderResult(manager, order,
                               order.server.id == "s1" ? order_result::Unanswered
                                                       : order_result::Done,
@@ -161,9 +163,10 @@
     }
     now = granted + longestHold(limits) + 1s;
     const auto later = orders();
-    CHECK(std::count_if(
-                  later.begin(), later.end(),
-                  [](const auto &order) { return order.server.id == "s2" && order.fence > 8; })
+    CHECK(std::count_if(later.begin(), later.end(),
+                        [&](const auto &order) {
+                            return order.server.id == "s2" && order.fence >= firstUnusedFence;
+                        })
           == 4);
 }
 
@@ -214,7 +217,7 @@
     planAndStore();
     for (; now < ends; now += 100ms) {
         for (const auto &order : orders()) {
-            CHECK((order.kind == order_kind::Release || order.fence <= 8));
+            CHECK((order.kind == order_kind::Release || order.fence < firstUnusedFence));
             recordOrderResult(manager, order,
                               order.kind == order_kind::Release ? order_result::Unanswered
                                                                 : order_result::Done,
@@ -225,8 +228,8 @@
                       [](const auto &slice) { return slice.phase == slice_phase::Pending; }));
     now += limits.retryAfter;
     const auto later = orders();
-    CHECK(std::any_of(later.begin(), later.end(), [](const auto &order) {
-        return order.kind == order_kind::Grant && order.fence > 8;
+    CHECK(std::any_of(later.begin(), later.end(), [&](const auto &order) {
+        return order.kind == order_kind::Grant && order.fence >= firstUnusedFence;
     }));
 }
 
@@ -282,7 +285,7 @@
         move();
     for (; now < ends; now += 100ms) {
         for (const auto &order : orders()) {
-            CHECK((order.server.id == "s1" || order.fence <= 8));
+            CHECK((order.server.id == "s1" || order.fence < firstUnusedFence));
             recordOrderResult(manager, order,
                               order.server.id == "s1" ? order_result::Unanswered
                                                       : order_result::Done,
@@ -442,6 +445,32 @@
 
 } // namespace
 
+// Guards against fences that are assigned twice: the table of an earlier claim of the same era was
+// not the one in the store.
+TEST_CASE_METHOD(manager_after_a_restore, "fences_of_a_claim_are_above_all_of_earlier_claims",
+                 "[ownership]")
+{
+    const auto late = manager.table;
+    auto revision = manager.table.leaderRevision.revision;
+    fence_number highest = 0;
+    for (auto round = 0; round < 6; ++round) {
+        now += 15s;
+        answerAll(order_result::Done);
+        auto &server = round % 2 == 0 ? first : second;
+        server.draining = true;
+        recordServer(directory, server, now);
+        REQUIRE(planAndStore());
+        ++revision;
+        server.draining = false;
+        recordServer(directory, server, now);
+        for (const auto &slice : manager.table.slices)
+            highest = std::max(highest, slice.fence);
+        answerAll(order_result::Done);
+        answerAll(order_result::Done);
+    }
+    CHECK(makeOwnershipManager(limits, late, {2, revision + 1}, now).table.nextFence > highest);
+}
+
 // Guards against fences that are assigned twice: the store had lost the table with the highest one.
 TEST_CASE_METHOD(manager_after_a_restore, "fences_after_a_restore_are_above_all_earlier_ones",
                  "[ownership]")
@@ -514,7 +543,7 @@
     for (; now < ends; now += 500ms) {
         for (const auto &order : orders()) {
             if (order.server.id == "s2")
-                CHECK(order.fence < firstFenceOf(2));
+                CHECK(order.fence < firstFenceOf({2, 0}));
             recordOrderResult(manager, order, order_result::Done, {}, now);
         }
     }
