Keep the leader's table when a late write replaces it in the store

What callers saw in the test: keys without service for over 15 s. A write of an earlier era, carried out late because its condition holds again by revisions given out again, replaced the table of the leader of the new era. The leader took the older table over its own with its next write. The next round noticed the other claim and read the table again, which began the sequence numbers of the same claim anew: hosts ignored its owners until the numbers had passed the earlier ones, and sent requests to servers that had released the keys. The leader also forgot its grants and waited for lost ones.

A manager now adopts only tables of its own claim. Of another one it keeps the revision, which the next write expects, and stores its own table again at once.

Ruled out: a second holder, or fences below earlier ones, by the leader itself: the round that noticed the claim sent no orders by the older table.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -545,8 +545,10 @@
     return table;
 }
 
-auto applyStoredTable(ownership_manager &manager, ownership_table stored, instant now) -> void
+auto applyStoredTable(ownership_manager &manager, ownership_table stored, instant now) -> bool
 {
+    if (stored.leaderRevision != manager.table.leaderRevision)
+        return false;
     std::map<key_number, slice_state> states;
     for (const auto &slice : stored.slices) {
         const auto *before = findSlice(manager.table, slice.from);
@@ -562,6 +564,7 @@
     manager.states = std::move(states);
     manager.table = std::move(stored);
     manager.table.sequence = sequence + 1;
+    return true;
 }
 
 } // namespace parsleyloft
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -271,7 +271,8 @@
 // has changed. A later leader that reads it as incomplete waits again.
 auto settleLostDecisions(ownership_manager &manager, instant now) -> bool;
 
-// Adopts a planned table after it was written to the store.
-auto applyStoredTable(ownership_manager &manager, ownership_table stored, instant now) -> void;
+// Adopts a planned table after it was written to the store. Returns false, and adopts nothing, if
+// the table is of another claim: a write of an earlier era that the store has carried out late.
+auto applyStoredTable(ownership_manager &manager, ownership_table stored, instant now) -> bool;
 
 } // namespace parsleyloft
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -164,7 +164,8 @@
     countOwnerChange(router.metrics, after.service, changedSlices);
 }
 
-// Takes over the table that is now in the store, whether or not this leader wrote it.
+// Takes over the table that is now in the store if it is of this leader's claim. Writes the own
+// table again otherwise.
 auto handleStoredTable(router_process &router, const ownership_table &stored,
                        store_position revision) -> void
 {
@@ -180,9 +181,17 @@
         if (revision.era != era || revision <= managed->second.revision)
             return;
         managed->second.revision = revision;
+        const auto before = managed->second.manager.table;
+        if (!applyStoredTable(managed->second.manager, stored, monotonicNow())) {
+            managed->second.unstoredSince = monotonicNow() - maxUnstoredTime;
+            logEvent(log_level::Warn, "ownership_replaced",
+                     {{"service", table.service},
+                      {"revision", std::to_string(revision.revision)},
+                      {"written_in_era", std::to_string(table.leaderRevision.era)}});
+            return;
+        }
         managed->second.unstoredSince.reset();
-        logOwnerChanges(router, managed->second.manager.table, stored);
-        applyStoredTable(managed->second.manager, stored, monotonicNow());
+        logOwnerChanges(router, before, stored);
         table = managed->second.manager.table;
     }
     adoptOwnership(router, std::move(table), table_source::Leader);
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -445,6 +445,24 @@
 
 } // namespace
 
+// Guards against owners of an earlier era: a late write had replaced the leader's table in the
+// store.
+TEST_CASE_METHOD(manager_after_a_restore, "stored_table_of_another_claim_is_not_adopted",
+                 "[ownership]")
+{
+    auto late = manager.table;
+    late.leaderRevision = {1, 50};
+    for (auto &slice : late.slices) {
+        slice.owner = {"s2", second.startTimeMs, second.address};
+        slice.fence = 20;
+    }
+    const auto own = manager.table;
+    applyStoredTable(manager, late, now);
+    CHECK(manager.table == own);
+    CHECK(countSlicesOf("s1") == 4);
+    CHECK(countGrantsTo("s1") == 4);
+}
+
 // Guards against fences that are assigned twice: the table of an earlier claim of the same era was
 // not the one in the store.
 TEST_CASE_METHOD(manager_after_a_restore, "fences_of_a_claim_are_above_all_of_earlier_claims",
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -502,4 +502,37 @@
     CHECK(findOwnerBreaches() == std::set<std::string>());
 }
 
+// Guards against a leader, and a successor, that take owners and fences from a table of an earlier
+// era: the store has carried out a late write, whose condition held again.
+TEST_CASE_METHOD(restored_site, "keys_keep_one_owner_if_a_late_write_replaces_the_table_of_owners")
+{
+    const auto leaderLost = GENERATE(false, true);
+    const auto *const key = "parsleyloft/owners/ledger";
+    const auto late = findItem(*store, key);
+    REQUIRE(late);
+    const auto copy = copyStore(*store);
+    moveKeys("a", "ledger-b");
+    restore(copy);
+    waitUntil("the leader has stored its table", [&] { return findItem(*store, key) != late; });
+    requestKeysFor(recoveryBound);
+    // The table's sequence number rises well above that of a table that has just been read.
+    for (int round = 0; round < 3; ++round) {
+        moveKeys("b", "ledger-a");
+        moveKeys("a", "ledger-b");
+    }
+    moveKeys("b", "ledger-a");
+    putItem(*store, key, *late);
+    if (leaderLost) {
+        const auto lost = leader();
+        killHost(lost);
+        startRoutingHost(*this, lost);
+    }
+    putItem(*store, "op/evacuate/a", "{}");
+    requestKeysFor(recoveryBound);
+    CHECK(isMetWithin(recoveryBound, [&] { return holdsAllKeys("ledger-b"); }));
+    CHECK(isMetWithin(recoveryBound, [&] { return areKeysServed(0) && areKeysServed(1); }));
+    CHECK(findItem(*store, key) != late);
+    CHECK(findOwnerBreaches() == std::set<std::string>());
+}
+
 } // namespace parsleyloft
