Publish later tables after a leader resumes under its claim

What callers saw in the test: after an outage of the store of 4 s with paused leases, keys that moved afterwards were not served for over 3 s. The leader stops leading when its renewal is late, and leads again under the same claim once it is renewed. It then reads its table again, and numbered its tables from 0. Hosts order the tables of a claim by these numbers: they ignored all owners until the numbers had passed the earlier ones, and sent requests to servers that had released the keys.

The numbers now go on from the later of the stored table and the one that the hosts follow.

Ruled out: a second holder, or a lower fence (the fences go on from the table; no owner breach in the test before or after).

The tests failed before. Process: "CHECK( isMetWithin(stableWindow, [&] { return areKeysServed(0) && areKeysServed(1); }) ) with expansion: false". Unit: "CHECK( isLater(again.table, manager.table) ) with expansion: false". The stand-in of the store gets a fault for leases that pause.

--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -413,8 +413,10 @@
     // Lets the directory of servers fill before the first table and the first move.
     constexpr duration settleTime = 700ms;
     ownership_manager manager{limits, std::move(table), {}, now + settleTime};
+    // Hosts ignore a table that is not later than one of the same claim that they know.
+    const auto sameClaim = manager.table.leaderRevision == leaderRevision;
+    manager.table.sequence = sameClaim ? manager.table.sequence + 1 : 0;
     manager.table.leaderRevision = leaderRevision;
-    manager.table.sequence = 0;
     manager.table.nextFence = std::max(manager.table.nextFence, firstFenceOf(leaderRevision));
     for (const auto &slice : manager.table.slices) {
         auto &state = manager.states[slice.from];
--- a/lab/store_stand_in.cpp
+++ b/lab/store_stand_in.cpp
@@ -221,7 +221,8 @@
         const auto now = monotonicNow();
         std::vector<std::uint64_t> expired;
         for (const auto &[id, lease] : store->leases) {
-            if (now >= lease.expiresAt || store->faults.expireLeases)
+            const auto ended = now >= lease.expiresAt && !store->faults.pauseLeases;
+            if (ended || store->faults.expireLeases)
                 expired.push_back(id);
         }
         for (const auto id : expired)
--- a/lab/store_stand_in.h
+++ b/lab/store_stand_in.h
@@ -14,6 +14,8 @@
     bool dropResponses = false;
     // Expires all leases, as if they had not been renewed.
     bool expireLeases = false;
+    // Leases do not expire.
+    bool pauseLeases = false;
 };
 
 struct store_stand_in
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -81,12 +81,25 @@
                                    now + candidateLeaseLength(), now);
 }
 
+// A table that this leader reads again under its claim must be later than the one that the hosts
+// follow, which may be later than the stored one.
+auto continueSequence(router_process &router, ownership_table &table) -> void
+{
+    const std::lock_guard guard(router.ownership.lock);
+    const auto known = router.ownership.services.find(table.service);
+    if (known == router.ownership.services.end()
+        || known->second.table->leaderRevision != table.leaderRevision)
+        return;
+    table.sequence = std::max(table.sequence, known->second.table->sequence + 1);
+}
+
 auto adoptStoredTable(router_process &router, ownership_table stored, store_position revision,
                       store_position leaderRevision) -> void
 {
     const auto service = stored.service;
     const auto writtenIn = stored.leaderRevision.era;
     auto manager = makeManager(router, std::move(stored), leaderRevision);
+    continueSequence(router, manager.table);
     auto table = manager.table;
     const auto pending =
             std::count_if(table.slices.begin(), table.slices.end(),
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -445,6 +445,15 @@
 
 } // namespace
 
+// Guards against owners that hosts ignore because they know a later table of the same claim.
+TEST_CASE_METHOD(manager_with_two_servers, "table_read_again_under_the_same_claim_is_later",
+                 "[ownership]")
+{
+    const auto again =
+            makeOwnershipManager(limits, manager.table, manager.table.leaderRevision, now);
+    CHECK(isLater(again.table, manager.table));
+}
+
 // Guards against owners of an earlier era: a late write had replaced the leader's table in the
 // store.
 TEST_CASE_METHOD(manager_after_a_restore, "stored_table_of_another_claim_is_not_adopted",
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -535,4 +535,24 @@
     CHECK(findOwnerBreaches() == std::set<std::string>());
 }
 
+// Guards against owners that hosts ignore: a leader whose lease was renewed late read its own table
+// again, and its sequence numbers began again under the same claim.
+TEST_CASE_METHOD(restored_site, "owners_of_a_leader_that_resumes_under_its_claim_are_followed")
+{
+    for (int round = 0; round < 3; ++round) {
+        moveKeys("a", "ledger-b");
+        moveKeys("b", "ledger-a");
+    }
+    const auto claim = findItem(*store, "parsleyloft/live/leader");
+    setStoreFaults(*store, {.unavailable = true, .pauseLeases = true});
+    std::this_thread::sleep_for(stableWindow + outage);
+    setStoreFaults(*store, {.pauseLeases = true});
+    requestKeysFor(stableWindow);
+    putItem(*store, "op/evacuate/a", "{}");
+    CHECK(isMetWithin(recoveryBound, [&] { return holdsAllKeys("ledger-b"); }));
+    CHECK(isMetWithin(stableWindow, [&] { return areKeysServed(0) && areKeysServed(1); }));
+    CHECK(findItem(*store, "parsleyloft/live/leader") == claim);
+    CHECK(findOwnerBreaches() == std::set<std::string>());
+}
+
 } // namespace parsleyloft
