Model late writes of earlier eras of the store

The model of owners now keeps the store's revisions: claims and tables are written by expected revisions, which a store that has come back gives out again. With lateWrites, writes without an answer are carried out up to 8 s later if their condition holds by then, and copies are chosen so that it does. A seed series fails if no table of the present era was replaced in it.

The other series draw the same numbers as before, but claims use revisions too.

--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -102,6 +102,7 @@
 {
     int grants = 0;
     int lateGrants = 0;
+    int replacedTables = 0;
     const auto seeds = selectSeeds(count);
     for (const auto seed : seeds) {
         const auto result = runOwnership(seed, faults);
@@ -110,11 +111,14 @@
         CHECK(result.unowned == 0);
         grants += result.grants;
         lateGrants += result.lateGrants;
+        replacedTables += result.replacedTables;
     }
     CHECK(grants > 0);
     // A single seed may have none.
-    if (seeds.size() > 1)
+    if (seeds.size() > 1) {
         CHECK((lateGrants > 0) == (faults.lateOrders > 0));
+        CHECK((replacedTables > 0) == faults.lateWrites);
+    }
 }
 
 } // namespace
@@ -617,6 +621,25 @@
     checkSeeds(120, faults);
 }
 
+// Guards against owners and fences of an earlier era: writes without an answer were carried out
+// after the store had given out their expected revisions again.
+TEST_CASE("keys_under_late_writes_of_earlier_eras_have_at_most_one_owner", "[ownership][seeds]")
+{
+    ownership_faults faults;
+    faults.leaderChanges = true;
+    faults.drains = true;
+    faults.movingLoad = true;
+    faults.restores = true;
+    faults.lateWrites = true;
+    checkSeeds(80, faults);
+}
+
+TEST_CASE("keys_under_late_writes_of_earlier_eras_and_all_faults_have_at_most_one_owner",
+          "[ownership][seeds]")
+{
+    checkSeeds(80, {0.15, 0.5, true, true, true, true, true, true, true});
+}
+
 TEST_CASE("keys_under_returns_of_the_store_and_all_faults_have_at_most_one_owner",
           "[ownership][seeds]")
 {
--- a/tests/support/ownership_model.cpp
+++ b/tests/support/ownership_model.cpp
@@ -29,6 +29,13 @@
 constexpr double slowClockFactor = 1.02;
 constexpr duration maxNetworkDelay = 100ms;
 constexpr duration storeWriteTime = 20ms;
+// A write without an answer is given up after this, and carried out within maxWriteDelay, if at
+// all.
+constexpr duration storeCallTimeout = 1s;
+constexpr duration maxWriteDelay = 8s;
+constexpr double lostWrites = 0.3;
+// Changes by other writers between the return of the store and the next claim, at most.
+constexpr std::uint64_t maxChangesOfOthers = 1;
 // A leader without contact to the store sends orders for as long as its lease is valid.
 constexpr duration leaderLease = 3s;
 // Owners reach the hosts that follow the leader within this time.
@@ -77,10 +84,24 @@
     std::int64_t startTimeMs = 0;
 };
 
+// What the store holds of the leader and of the table. A revision of 0 stands for no such item.
+struct store_state
+{
+    store_revision revision = 100;
+    store_revision leaderRevision = 0;
+    store_revision tableRevision = 0;
+    ownership_table table;
+};
+
+// A conditional write of the table.
 struct pending_write
 {
     ownership_table table;
-    int leader = 0;
+    store_revision leaderRevision = 0;
+    store_revision tableRevision = 0;
+    instant sent{};
+    // When the leader that sent it had claimed leadership.
+    instant claimedAt{};
     instant done{};
     bool answerLost = false;
 };
@@ -105,12 +126,20 @@
     std::optional<ownership_manager> manager;
     instant leaderEnds{};
     instant leaderBegins{};
-    ownership_table stored;
+    // The revisions by which the leader's writes are conditional.
+    store_revision claim = 0;
+    instant claimedAt{};
+    store_revision knownTable = 0;
+    store_state store;
+    // The store has a table of another claim instead of the leader's.
+    bool unstored = false;
     std::optional<pending_write> writing;
+    // Writes without an answer, which the store carries out later if their condition holds then.
+    std::vector<pending_write> lateWrites;
     store_era era = 1;
     instant restoredAt{};
-    // The stored tables with the times of their writes, and the tables that the hosts followed.
-    std::vector<std::pair<instant, ownership_table>> storedSince;
+    // The states of the store since their times, and the tables that the hosts followed.
+    std::vector<std::pair<instant, store_state>> storeSince;
     std::vector<std::pair<instant, ownership_table>> followedSince;
     // A leader that does not know yet that the store came back from an older copy.
     std::optional<ownership_manager> deposed;
@@ -193,6 +222,14 @@
 
 auto restoreStore(ownership_world &world) -> void;
 
+// True when a late write of an earlier era has replaced the leader's table in the store.
+auto isTableReplaced(const ownership_world &world) -> bool
+{
+    const auto &known = world.manager ? world.manager->table : world.store.table;
+    return world.store.table.leaderRevision.era < known.leaderRevision.era && world.knownTable != 0
+            && world.store.tableRevision > world.knownTable;
+}
+
 auto injectFaults(ownership_world &world) -> void
 {
     std::vector<int> numbers;
@@ -222,9 +259,11 @@
         world.load.granularity = keysPerBucket;
         setWork(world.load, work, world.servers.size());
     }
-    if (world.faults.leaderChanges && world.manager && chance(world, 0.002))
+    const auto leaderChance = isTableReplaced(world) ? 0.02 : 0.002;
+    if (world.faults.leaderChanges && world.manager && chance(world, leaderChance))
         world.leaderEnds = world.now;
-    if (world.faults.restores && chance(world, 0.0015))
+    const auto restoreChance = world.lateWrites.empty() ? 0.0015 : 0.006;
+    if (world.faults.restores && chance(world, restoreChance))
         restoreStore(world);
 }
 
@@ -247,25 +286,67 @@
         restart(world, number);
 }
 
-// The latest of the tables at a time. They are in the order of time.
-auto tableAt(const std::vector<std::pair<instant, ownership_table>> &tables, instant time)
-        -> ownership_table
+// The latest of the states at a time. They are in the order of time.
+template<typename state>
+auto stateAt(const std::vector<std::pair<instant, state>> &states, instant time, state found)
+        -> state
 {
-    ownership_table found;
-    found.service = "ledger";
-    for (const auto &[since, table] : tables) {
+    for (const auto &[since, known] : states) {
         if (since <= time)
-            found = table;
+            found = known;
     }
     return found;
 }
 
-auto restoreStore(ownership_world &world) -> void
+auto emptyTable() -> ownership_table
 {
-    const auto copiedAt = world.now - drawTime(world, 1s, 9s);
-    world.stored = tableAt(world.storedSince, copiedAt);
-    std::erase_if(world.storedSince, [&](const auto &entry) { return entry.first > copiedAt; });
+    ownership_table table;
+    table.service = "ledger";
+    return table;
+}
+
+auto initialStore() -> store_state
+{
+    store_state store;
+    store.table = emptyTable();
+    return store;
+}
+
+// Returns the revision of the change.
+auto changeStore(ownership_world &world) -> store_revision
+{
+    return ++world.store.revision;
+}
+
+auto recordStore(ownership_world &world) -> void
+{
+    world.storeSince.emplace_back(world.now, world.store);
+}
+
+auto giveUpWrite(ownership_world &world) -> void
+{
+    if (!world.writing)
+        return;
+    if (world.faults.lateWrites && !world.writing->answerLost) {
+        world.lateWrites.push_back(*world.writing);
+        world.lateWrites.back().done = world.now + drawTime(world, 0ms, maxWriteDelay);
+    }
     world.writing.reset();
+}
+
+auto restoreStore(ownership_world &world) -> void
+{
+    auto copiedAt = world.now - drawTime(world, 1s, 9s);
+    // Copies for which the condition of a late write holds again, at once or after a claim.
+    if (!world.lateWrites.empty() && chance(world, 0.8)) {
+        const auto &late = world.lateWrites.back();
+        copiedAt = chance(world, 0.3) ? late.sent : late.claimedAt - step;
+    }
+    world.store = stateAt(world.storeSince, copiedAt, initialStore());
+    std::erase_if(world.storeSince, [&](const auto &entry) { return entry.first > copiedAt; });
+    giveUpWrite(world);
+    if (world.faults.lateWrites)
+        world.store.revision += world.random() % (maxChangesOfOthers + 1);
     ++world.era;
     world.restoredAt = world.now;
     ++world.result.restores;
@@ -281,13 +362,14 @@
 // The leader's manager, as the product makes it.
 auto makeManager(ownership_world &world, store_position claimed) -> ownership_manager
 {
-    auto table = world.stored;
+    auto table = world.store.table;
     auto lost = lost_decisions::None;
     if (table.leaderRevision.era < world.era) {
         // A host that has just started knows the stored table only, or none.
         const auto isNewHost = chance(world, 0.2);
         const auto followed =
-                tableAt(world.followedSince, world.now - drawTime(world, 0ms, maxFollowerDelay));
+                stateAt(world.followedSince, world.now - drawTime(world, 0ms, maxFollowerDelay),
+                        emptyTable());
         if (!isNewHost && isLater(followed, table))
             table = followed;
         lost = isNewHost ? lost_decisions::Any : lost_decisions::Recent;
@@ -304,10 +386,27 @@
                                    world.now);
 }
 
+auto beginWrite(ownership_world &world, ownership_table table) -> void
+{
+    world.writing = pending_write{
+            std::move(table),           world.claim, world.knownTable, world.now, world.claimedAt,
+            world.now + storeWriteTime, false};
+    if (!world.faults.lateWrites || !isFaulty(world) || !chance(world, lostWrites))
+        return;
+    world.lateWrites.push_back(*world.writing);
+    world.lateWrites.back().done = world.now + drawTime(world, 0ms, maxWriteDelay);
+    world.writing->answerLost = true;
+    world.writing->done = world.now + storeCallTimeout;
+}
+
 auto changeLeaders(ownership_world &world) -> void
 {
     if (world.manager && world.now >= world.leaderEnds) {
         world.manager.reset();
+        giveUpWrite(world);
+        changeStore(world);
+        world.store.leaderRevision = 0;
+        recordStore(world);
         world.leaderBegins = world.now + drawTime(world, 200ms, 4s);
     }
     if (world.now >= world.deposedEnds)
@@ -316,11 +415,16 @@
         return;
     ++world.leader;
     world.leaderEnds = instant::max();
-    world.manager = makeManager(world, {world.era, static_cast<store_revision>(world.leader)});
+    world.claim = changeStore(world);
+    world.claimedAt = world.now;
+    world.store.leaderRevision = world.claim;
+    recordStore(world);
+    world.knownTable = world.store.tableRevision;
+    world.unstored = false;
+    world.manager = makeManager(world, {world.era, world.claim});
     world.followedSince.emplace_back(world.now, world.manager->table);
-    if (world.stored.leaderRevision.era < world.era && !world.manager->table.slices.empty())
-        world.writing = pending_write{world.manager->table, world.leader,
-                                      world.now + storeWriteTime, false};
+    if (world.store.table.leaderRevision.era < world.era && !world.manager->table.slices.empty())
+        beginWrite(world, world.manager->table);
 }
 
 auto findServerAt(ownership_world &world, const endpoint &address) -> model_server *
@@ -433,19 +537,49 @@
                   [](const auto &sent) { return sent.applied && sent.answered == instant::max(); });
 }
 
+// Returns whether the condition held.
+auto carryOut(ownership_world &world, const pending_write &write) -> bool
+{
+    auto &store = world.store;
+    if (store.leaderRevision != write.leaderRevision || store.tableRevision != write.tableRevision)
+        return false;
+    if (write.table.leaderRevision.era < world.era && store.table.leaderRevision.era == world.era)
+        ++world.result.replacedTables;
+    store.tableRevision = changeStore(world);
+    store.table = write.table;
+    recordStore(world);
+    return true;
+}
+
+auto carryOutLateWrites(ownership_world &world) -> void
+{
+    for (const auto &write : world.lateWrites) {
+        if (world.now >= write.done)
+            carryOut(world, write);
+    }
+    std::erase_if(world.lateWrites, [&](const auto &write) { return world.now >= write.done; });
+}
+
+// As the product handles the table that the store has after a write.
+auto handleStoredTable(ownership_world &world) -> void
+{
+    if (world.store.tableRevision <= world.knownTable)
+        return;
+    world.knownTable = world.store.tableRevision;
+    world.unstored = !applyStoredTable(*world.manager, world.store.table, world.now);
+    world.followedSince.emplace_back(world.now, world.manager->table);
+}
+
 auto completeWrite(ownership_world &world) -> void
 {
+    carryOutLateWrites(world);
     if (!world.writing || world.now < world.writing->done)
         return;
     const auto write = *world.writing;
     world.writing.reset();
-    // The write succeeds only while the leader's key exists.
-    if (!world.manager || write.leader != world.leader)
-        return;
-    world.stored = write.table;
-    world.storedSince.emplace_back(world.now, world.stored);
-    applyStoredTable(*world.manager, write.table, world.now);
-    world.followedSince.emplace_back(world.now, world.manager->table);
+    if (!write.answerLost)
+        carryOut(world, write);
+    handleStoredTable(world);
 }
 
 auto sendDueOrders(ownership_world &world, ownership_manager &manager, int leader) -> void
@@ -468,8 +602,9 @@
         return;
     if (auto planned = planOwnership(*world.manager, world.directory, world.load, world.now)) {
         ++world.result.moves;
-        world.writing =
-                pending_write{std::move(*planned), world.leader, world.now + storeWriteTime, false};
+        beginWrite(world, std::move(*planned));
+    } else if (world.unstored) {
+        beginWrite(world, world.manager->table);
     }
 }
 
@@ -503,7 +638,7 @@
 {
     ownership_world world(seed);
     world.faults = faults;
-    world.stored.service = "ledger";
+    world.store = initialStore();
     for (int index = 0; index < serverCount; ++index)
         addServer(world, {"10.0.0." + std::to_string(index + 1), 80});
     const auto ends = modelStart + faultDuration + faultFreeDuration;
--- a/tests/support/ownership_model.h
+++ b/tests/support/ownership_model.h
@@ -25,6 +25,9 @@
     bool movingLoad = false;
     // The store comes back from an older copy of itself. The leader may not know of it at first.
     bool restores = false;
+    // Writes of the table without an answer are carried out up to 8 s later, if their condition
+    // still holds, or holds again because a store that has come back gives out revisions again.
+    bool lateWrites = false;
 };
 
 struct ownership_run_result
@@ -36,6 +39,8 @@
     // Grants without an answer that servers carried out late, before their hold had expired.
     int lateGrants = 0;
     int restores = 0;
+    // Late writes of an earlier era that replaced a table of the present one.
+    int replacedTables = 0;
     // Buckets of keys without an owner at the end of the time without faults.
     int unowned = 0;
 };
