--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -146,7 +146,7 @@
         slice.to = index + 1 == count ? lastKey : slice.from + width - 1;
         slice.phase = slice_phase::Pending;
         slice.owner = receiver->owner;
-        slice.fence = table.nextFence++;
+        slice.fence = table.nextFence;
         receiver->share.actual += shareOf(slice, {});
         table.slices.push_back(slice);
     }
@@ -158,7 +158,7 @@
 {
     slice.previous = previous;
     slice.owner = owner;
-    slice.fence = table.nextFence++;
+    slice.fence = table.nextFence;
     slice.phase = slice_phase::Pending;
 }
 
@@ -401,12 +401,15 @@
     return limits.callTimeout + maxHoldAtServer(limits);
 }
 
-auto firstFenceOf(store_era era) -> fence_number
+auto firstFenceOf(store_position claim) -> fence_number
 {
     // Fences are sent as JSON numbers, which are written without an exponent below 10^15.
     constexpr store_era maxNumberedEra = 100'000;
     constexpr unsigned fenceBitsPerEra = 32;
-    return std::min(era, maxNumberedEra) << fenceBitsPerEra;
+    // Leaves the upper half of the fences of an era to the tables written under its last claim.
+    constexpr store_revision maxNumberedRevision = store_revision(1) << (fenceBitsPerEra - 1);
+    return (std::min(claim.era, maxNumberedEra) << fenceBitsPerEra)
+            + std::min(claim.revision, maxNumberedRevision);
 }
 
 auto makeOwnershipManager(const ownership_limits &limits, ownership_table table,
@@ -415,9 +418,11 @@
     // Lets the directory of servers fill before the first table and the first move.
     constexpr duration settleTime = 700ms;
     ownership_manager manager{limits, std::move(table), {}, now + settleTime};
+    // Hosts ignore a table that is not later than one of the same claim that they know.
+    const auto sameClaim = manager.table.leaderRevision == leaderRevision;
+    manager.table.sequence = sameClaim ? manager.table.sequence + 1 : 0;
     manager.table.leaderRevision = leaderRevision;
-    manager.table.sequence = 0;
-    manager.table.nextFence = std::max(manager.table.nextFence, firstFenceOf(leaderRevision.era));
+    manager.table.nextFence = std::max(manager.table.nextFence, firstFenceOf(leaderRevision));
     for (const auto &slice : manager.table.slices) {
         auto &state = manager.states[slice.from];
         state.ownerGrantEnds = now + longestHold(limits);
@@ -542,12 +547,15 @@
     }
     if (!changed)
         return std::nullopt;
+    ++table.nextFence;
     ++table.sequence;
     return table;
 }
 
-auto applyStoredTable(ownership_manager &manager, ownership_table stored, instant now) -> void
+auto applyStoredTable(ownership_manager &manager, ownership_table stored, instant now) -> bool
 {
+    if (stored.leaderRevision != manager.table.leaderRevision)
+        return false;
     std::map<key_number, slice_state> states;
     for (const auto &slice : stored.slices) {
         const auto *before = findSlice(manager.table, slice.from);
@@ -563,6 +571,7 @@
     manager.states = std::move(states);
     manager.table = std::move(stored);
     manager.table.sequence = sequence + 1;
+    return true;
 }
 
 } // namespace parsleyloft
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -81,12 +81,25 @@
                                    now + candidateLeaseLength(), now);
 }
 
+// A table that this leader reads again under its claim must be later than the one that the hosts
+// follow, which may be later than the stored one.
+auto continueSequence(router_process &router, ownership_table &table) -> void
+{
+    const std::lock_guard guard(router.ownership.lock);
+    const auto known = router.ownership.services.find(table.service);
+    if (known == router.ownership.services.end()
+        || known->second.table->leaderRevision != table.leaderRevision)
+        return;
+    table.sequence = std::max(table.sequence, known->second.table->sequence + 1);
+}
+
 auto adoptStoredTable(router_process &router, ownership_table stored, store_position revision,
                       store_position leaderRevision) -> void
 {
     const auto service = stored.service;
     const auto writtenIn = stored.leaderRevision.era;
     auto manager = makeManager(router, std::move(stored), leaderRevision);
+    continueSequence(router, manager.table);
     auto table = manager.table;
     const auto pending =
             std::count_if(table.slices.begin(), table.slices.end(),
@@ -164,7 +177,8 @@
     countOwnerChange(router.metrics, after.service, changedSlices);
 }
 
-// Takes over the table that is now in the store, whether or not this leader wrote it.
+// Takes over the table that is now in the store if it is of this leader's claim. Writes the own
+// table again otherwise.
 auto handleStoredTable(router_process &router, const ownership_table &stored,
                        store_position revision) -> void
 {
@@ -180,9 +194,17 @@
         if (revision.era != era || revision <= managed->second.revision)
             return;
         managed->second.revision = revision;
+        const auto before = managed->second.manager.table;
+        if (!applyStoredTable(managed->second.manager, stored, monotonicNow())) {
+            managed->second.unstoredSince = monotonicNow() - maxUnstoredTime;
+            logEvent(log_level::Warn, "ownership_replaced",
+                     {{"service", table.service},
+                      {"revision", std::to_string(revision.revision)},
+                      {"written_in_era", std::to_string(table.leaderRevision.era)}});
+            return;
+        }
         managed->second.unstoredSince.reset();
-        logOwnerChanges(router, managed->second.manager.table, stored);
-        applyStoredTable(managed->second.manager, stored, monotonicNow());
+        logOwnerChanges(router, before, stored);
         table = managed->second.manager.table;
     }
     adoptOwnership(router, std::move(table), table_source::Leader);
--- a/tests/decisions/key_ownership_test.cpp
+++ b/tests/decisions/key_ownership_test.cpp
@@ -22,6 +22,7 @@
         now += 1s;
         planAndStore();
         grantAll();
+        firstUnusedFence = manager.table.nextFence;
     }
 
     auto planAndStore() -> bool
@@ -84,6 +85,7 @@
     server_record second{"s2", "ledger", {"10.0.0.2", 80}, "a", 3, false, 0us, 1001};
     server_directory directory;
     ownership_manager manager;
+    fence_number firstUnusedFence = 0;
 };
 
 auto selectSeeds(std::uint64_t count) -> std::vector<std::uint64_t>
@@ -100,6 +102,7 @@
 {
     int grants = 0;
     int lateGrants = 0;
+    int replacedTables = 0;
     int foreignEntries = 0;
     const auto seeds = selectSeeds(count);
     for (const auto seed : seeds) {
@@ -109,12 +112,14 @@
         CHECK(result.unowned == 0);
         grants += result.grants;
         lateGrants += result.lateGrants;
+        replacedTables += result.replacedTables;
         foreignEntries += result.foreignEntries;
     }
     CHECK(grants > 0);
     // A single seed may have none.
     if (seeds.size() > 1) {
         CHECK((lateGrants > 0) == (faults.lateOrders > 0));
+        CHECK((replacedTables > 0) == faults.lateWrites);
         CHECK((foreignEntries > 0) == faults.foreignEntries);
     }
 }
@@ -156,7 +161,7 @@
     for (; now < granted + limits.hold; now += 100ms) {
         for (const auto &order : orders()) {
             if (order.server.id == "s2")
-                CHECK(order.fence <= 8);
+                CHECK(order.fence < firstUnusedFence);
             recordOrderResult(manager, order,
                               order.server.id == "s1" ? order_result::Unanswered
                                                       : order_result::Done,
@@ -165,9 +170,10 @@
     }
     now = granted + longestHold(limits) + 1s;
     const auto later = orders();
-    CHECK(std::count_if(
-                  later.begin(), later.end(),
-                  [](const auto &order) { return order.server.id == "s2" && order.fence > 8; })
+    CHECK(std::count_if(later.begin(), later.end(),
+                        [&](const auto &order) {
+                            return order.server.id == "s2" && order.fence >= firstUnusedFence;
+                        })
           == 4);
 }
 
@@ -217,7 +223,7 @@
     planAndStore();
     for (; now < ends; now += 100ms) {
         for (const auto &order : orders()) {
-            CHECK((order.kind == order_kind::Release || order.fence <= 8));
+            CHECK((order.kind == order_kind::Release || order.fence < firstUnusedFence));
             recordOrderResult(manager, order,
                               order.kind == order_kind::Release ? order_result::Unanswered
                                                                 : order_result::Done,
@@ -228,8 +234,8 @@
                       [](const auto &slice) { return slice.phase == slice_phase::Pending; }));
     now += limits.retryAfter;
     const auto later = orders();
-    CHECK(std::any_of(later.begin(), later.end(), [](const auto &order) {
-        return order.kind == order_kind::Grant && order.fence > 8;
+    CHECK(std::any_of(later.begin(), later.end(), [&](const auto &order) {
+        return order.kind == order_kind::Grant && order.fence >= firstUnusedFence;
     }));
 }
 
@@ -306,7 +312,7 @@
         move();
     for (; now < ends; now += 100ms) {
         for (const auto &order : orders()) {
-            CHECK((order.server.id == "s1" || order.fence <= 8));
+            CHECK((order.server.id == "s1" || order.fence < firstUnusedFence));
             recordOrderResult(manager, order,
                               order.server.id == "s1" ? order_result::Unanswered
                                                       : order_result::Done,
@@ -470,6 +476,59 @@
 
 } // namespace
 
+// Guards against owners that hosts ignore because they know a later table of the same claim.
+TEST_CASE_METHOD(manager_with_two_servers, "table_read_again_under_the_same_claim_is_later",
+                 "[ownership]")
+{
+    const auto again =
+            makeOwnershipManager(limits, manager.table, manager.table.leaderRevision, now);
+    CHECK(isLater(again.table, manager.table));
+}
+
+// Guards against owners of an earlier era: a late write had replaced the leader's table in the
+// store.
+TEST_CASE_METHOD(manager_after_a_restore, "stored_table_of_another_claim_is_not_adopted",
+                 "[ownership]")
+{
+    auto late = manager.table;
+    late.leaderRevision = {1, 50};
+    for (auto &slice : late.slices) {
+        slice.owner = {"s2", second.startTimeMs, second.address};
+        slice.fence = 20;
+    }
+    const auto own = manager.table;
+    applyStoredTable(manager, late, now);
+    CHECK(manager.table == own);
+    CHECK(countSlicesOf("s1") == 4);
+    CHECK(countGrantsTo("s1") == 4);
+}
+
+// Guards against fences that are assigned twice: the table of an earlier claim of the same era was
+// not the one in the store.
+TEST_CASE_METHOD(manager_after_a_restore, "fences_of_a_claim_are_above_all_of_earlier_claims",
+                 "[ownership]")
+{
+    const auto late = manager.table;
+    auto revision = manager.table.leaderRevision.revision;
+    fence_number highest = 0;
+    for (auto round = 0; round < 6; ++round) {
+        now += 15s;
+        answerAll(order_result::Done);
+        auto &server = round % 2 == 0 ? first : second;
+        server.draining = true;
+        recordServer(directory, server, now);
+        REQUIRE(planAndStore());
+        ++revision;
+        server.draining = false;
+        recordServer(directory, server, now);
+        for (const auto &slice : manager.table.slices)
+            highest = std::max(highest, slice.fence);
+        answerAll(order_result::Done);
+        answerAll(order_result::Done);
+    }
+    CHECK(makeOwnershipManager(limits, late, {2, revision + 1}, now).table.nextFence > highest);
+}
+
 // Guards against fences that are assigned twice: the store had lost the table with the highest one.
 TEST_CASE_METHOD(manager_after_a_restore, "fences_after_a_restore_are_above_all_earlier_ones",
                  "[ownership]")
@@ -542,7 +601,7 @@
     for (; now < ends; now += 500ms) {
         for (const auto &order : orders()) {
             if (order.server.id == "s2")
-                CHECK(order.fence < firstFenceOf(2));
+                CHECK(order.fence < firstFenceOf({2, 0}));
             recordOrderResult(manager, order, order_result::Done, {}, now);
         }
     }
@@ -599,6 +658,25 @@
     checkSeeds(120, faults);
 }
 
+// Guards against owners and fences of an earlier era: writes without an answer were carried out
+// after the store had given out their expected revisions again.
+TEST_CASE("keys_under_late_writes_of_earlier_eras_have_at_most_one_owner", "[ownership][seeds]")
+{
+    ownership_faults faults;
+    faults.leaderChanges = true;
+    faults.drains = true;
+    faults.movingLoad = true;
+    faults.restores = true;
+    faults.lateWrites = true;
+    checkSeeds(80, faults);
+}
+
+TEST_CASE("keys_under_late_writes_of_earlier_eras_and_all_faults_have_at_most_one_owner",
+          "[ownership][seeds]")
+{
+    checkSeeds(80, {0.15, 0.5, true, true, true, true, true, true, true});
+}
+
 TEST_CASE("keys_under_returns_of_the_store_and_all_faults_have_at_most_one_owner",
           "[ownership][seeds]")
 {
