Log the address of each key order

On the timeline of the incident a release to another server than the holder could only be told from the server's result: the line key_order named the server's id, which was the holder's.

The comments of a key owner and of the expected wait say what the address stands for; isReachable is renamed, as it reads entries only.

--- a/codec/shared_state_codec.cpp
+++ b/codec/shared_state_codec.cpp
@@ -26,7 +26,7 @@
     auto *added = record.add_owners();
     added->set_server_id(owner.id);
     added->set_born_ms(owner.startTimeMs);
-    added->set_address(owner.address.address + ":" + std::to_string(owner.address.port));
+    added->set_address(formatEndpoint(owner.address));
     index = static_cast<std::uint32_t>(record.owners_size());
     return index;
 }
--- a/core/endpoint.cpp
+++ b/core/endpoint.cpp
@@ -1,4 +1,4 @@
-// Network addresses of processes: parsing of "ip:port".
+// Network addresses of processes: the text "ip:port".
 #include "core/endpoint.h"
 
 #include <arpa/inet.h>
@@ -17,6 +17,11 @@
 
 } // namespace
 
+auto formatEndpoint(const endpoint &address) -> std::string
+{
+    return address.address + ":" + std::to_string(address.port);
+}
+
 auto parseEndpoint(std::string_view text) -> result<endpoint>
 {
     const auto colon = text.rfind(':');
--- a/core/endpoint.h
+++ b/core/endpoint.h
@@ -17,6 +17,9 @@
     auto operator<=>(const endpoint &) const = default;
 };
 
+// The text "ip:port".
+auto formatEndpoint(const endpoint &address) -> std::string;
+
 // Parses "ip:port". Fails with InvalidInput.
 auto parseEndpoint(std::string_view text) -> result<endpoint>;
 
--- a/decisions/key_ownership.cpp
+++ b/decisions/key_ownership.cpp
@@ -20,9 +20,9 @@
     return owner.id.empty() || isSuperseded(directory, owner.id, owner.startTimeMs);
 }
 
-// True when the directory lists the owner's id, or knows a later incarnation of it, at the address
-// to which the owner's grants went.
-auto isReachable(const server_directory &directory, const key_owner &owner) -> bool
+// True when the entries suggest that a server of the owner's id runs at the address to which the
+// owner's grants went. Says how long a release may take, not who holds the keys.
+auto isListedAtItsAddress(const server_directory &directory, const key_owner &owner) -> bool
 {
     if (!hasEnded(directory, owner) && findEntry(directory, owner.id) == nullptr)
         return false;
@@ -392,7 +392,8 @@
 {
     if (slice.phase != slice_phase::Pending)
         return owner_wait::Unknown;
-    const auto isShort = slice.previous.id.empty() || isReachable(directory, slice.previous);
+    const auto isShort =
+            slice.previous.id.empty() || isListedAtItsAddress(directory, slice.previous);
     return isShort ? owner_wait::Short : owner_wait::Long;
 }
 
--- a/decisions/key_ownership.h
+++ b/decisions/key_ownership.h
@@ -32,7 +32,8 @@
         {slice_phase::Held, "held"},
 }};
 
-// One incarnation of a server as an owner. An empty id stands for no owner.
+// One incarnation of a server as an owner. An empty id stands for no owner. The address is the one
+// to which its grants go; later entries do not change it.
 struct key_owner
 {
     server_id id;
--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -271,7 +271,7 @@
 {
     wire::SiteServer entry;
     entry.set_service(options.service);
-    entry.set_address(address.address + ":" + std::to_string(address.port));
+    entry.set_address(formatEndpoint(address));
     entry.set_zone(options.domain);
     entry.set_slots(options.slots);
     entry.set_state(draining ? "draining" : "ready");
--- a/router/dump.cpp
+++ b/router/dump.cpp
@@ -55,7 +55,7 @@
         server->set_server_id(id);
         server->set_service(record.service);
         server->set_failure_domain(record.domain);
-        server->set_address(record.address.address + ":" + std::to_string(record.address.port));
+        server->set_address(formatEndpoint(record.address));
         server->set_slots(record.slots);
         server->set_leaving(!isUsable(router.directory.directory, entry));
         groups.insert({record.service, record.domain});
--- a/router/ownership_manager.cpp
+++ b/router/ownership_manager.cpp
@@ -299,6 +299,7 @@
              {{"kind", std::string(nameIn(orderKindNames, order.kind))},
               {"service", service},
               {"server", order.server.id},
+              {"address", formatEndpoint(order.server.address)},
               {"from", std::to_string(order.from)},
               {"to", std::to_string(order.to)},
               {"fence", std::to_string(order.fence)},
--- a/tests/support/site_cluster.cpp
+++ b/tests/support/site_cluster.cpp
@@ -35,7 +35,7 @@
 
 auto toText(const endpoint &address) -> std::string
 {
-    return address.address + ":" + std::to_string(address.port);
+    return formatEndpoint(address);
 }
 
 auto hostAddress(const site_cluster &cluster, int host, int portIndex) -> endpoint
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -179,7 +179,7 @@
     message.method_string(request.method);
     message.target(request.target);
     if (!preserveHeaders)
-        message.set(http::field::host, to.address + ":" + std::to_string(to.port));
+        message.set(http::field::host, formatEndpoint(to));
     for (const auto &[name, value] : request.headers)
         message.insert(name, value);
     message.body() = std::move(request.body);
