Share child processes and site settings between test programs

The soak starts the same processes as the process tests, but is no Catch2 program. Errors of child processes are exceptions now, which fail a test case as the assertions did: no range of ports, a program that cannot be started, a condition that is not met within 60 s. The settings of a host and the routes of a configuration move out of the fixture unchanged.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,12 +1,11 @@
 // Child processes of tests: port ranges for them, starting them, and waiting for conditions.
 #include "support/child_process.h"
 
-#include <catch2/catch.hpp>
-
 #include <chrono>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -41,7 +40,7 @@
         }
         close(claim);
     }
-    FAIL("no range of ports is free");
+    throw std::runtime_error("no range of ports is free");
 }
 
 port_claim::~port_claim()
@@ -63,8 +62,11 @@
     posix_spawn_file_actions_addopen(&actions, 1, outputPath.c_str(), append, 0600);
     posix_spawn_file_actions_addopen(&actions, 2, errorPath.c_str(), append, 0600);
     pid_t pid = 0;
-    REQUIRE(posix_spawn(&pid, program.c_str(), &actions, nullptr, values.data(), environ) == 0);
+    const auto failed =
+            posix_spawn(&pid, program.c_str(), &actions, nullptr, values.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0)
+        throw std::runtime_error(program + ": cannot be started");
     return pid;
 }
 
@@ -72,8 +74,8 @@
 {
     const auto end = std::chrono::steady_clock::now() + waitTimeout;
     while (!condition()) {
-        INFO("timed out waiting until " << what);
-        REQUIRE(std::chrono::steady_clock::now() < end);
+        if (std::chrono::steady_clock::now() >= end)
+            throw std::runtime_error("timed out waiting until " + what);
         std::this_thread::sleep_for(pollPeriod);
     }
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -1,4 +1,5 @@
-// Child processes of tests: port ranges for them, starting them, and waiting for conditions.
+// Child processes of tests: port ranges for them, starting them, and waiting for conditions. Errors
+// are exceptions, which fail the test.
 #pragma once
 
 #include <cstdint>
@@ -26,7 +27,7 @@
 auto spawnProcess(const std::string &program, std::vector<std::string> arguments,
                   const std::string &outputPath, const std::string &errorPath) -> pid_t;
 
-// Waits until the condition is true. Fails the test after 60 seconds.
+// Waits until the condition is true. Throws after 60 seconds.
 auto waitUntil(const std::string &what, const std::function<bool()> &condition) -> void;
 
 } // namespace parsleyloft
--- a/tests/support/site_cluster.cpp
+++ b/tests/support/site_cluster.cpp
@@ -3,8 +3,7 @@
 
 #include "codec/json.h"
 #include "command/subcommand.h"
-#include "generated/host_settings.pb.h"
-#include "generated/site.pb.h"
+#include "support/site_settings.h"
 
 #include <catch2/catch.hpp>
 
@@ -33,11 +32,6 @@
     return {"127.0.0.1", static_cast<std::uint16_t>(cluster.ports.firstPort + offset)};
 }
 
-auto toText(const endpoint &address) -> std::string
-{
-    return formatEndpoint(address);
-}
-
 auto hostAddress(const site_cluster &cluster, int host, int portIndex) -> endpoint
 {
     return addressAt(cluster, hostOffset + host * portsPerHost + portIndex);
@@ -50,23 +44,8 @@
 
 auto settingsOf(const site_cluster &cluster, int host) -> wire::HostSettings
 {
-    wire::HostSettings settings;
-    settings.set_host_id(nameOf(host));
-    settings.set_failure_domain(host % 2 == 0 ? "a" : "b");
-    settings.set_caller_address(toText(hostAddress(cluster, host, 0)));
-    settings.set_ready_address(toText(hostAddress(cluster, host, 1)));
-    settings.set_peer_address(toText(hostAddress(cluster, host, 2)));
-    settings.set_metrics_address(toText(hostAddress(cluster, host, 3)));
-    settings.set_store_address(toText(addressAt(cluster, storeOffset)));
-    settings.set_log_level("debug");
-    auto *bounds = settings.mutable_bounds();
-    bounds->set_drain_ms(2000);
-    bounds->set_grace_s(6);
-    bounds->set_hold_max_ms(10000);
-    bounds->set_repeat_ratio(0.2);
-    bounds->set_repeat_slack(60);
-    bounds->set_repeat_window_s(10);
-    return settings;
+    return makeHostSettings(nameOf(host), host % 2 == 0 ? "a" : "b", hostAddress(cluster, host, 0),
+                            addressAt(cluster, storeOffset));
 }
 
 auto addServer(site_cluster &cluster, const keyed_server_options &options) -> void
@@ -78,22 +57,6 @@
     cluster.servers[options.id] = *started;
 }
 
-auto addRoute(wire::SiteConfiguration &configuration, const std::string &prefix,
-              const std::string &service, const std::string &kind, std::uint32_t timeoutMs = 2000)
-        -> void
-{
-    auto *added = configuration.add_routes();
-    added->set_name("r" + std::to_string(configuration.routes_size()));
-    added->set_host("shop.example");
-    added->set_prefix(prefix);
-    added->set_kind(kind);
-    added->set_timeout_ms(timeoutMs);
-    added->set_target_ms(500);
-    added->set_priority(1);
-    added->set_service(service);
-    added->set_max_attempts(3);
-}
-
 } // namespace
 
 site_cluster::site_cluster()
