Play backend servers of the soak as processes

The skeleton had no servers. Each is now a process that answers byte by byte over plain sockets, and draws what it does with a request from the seed, the request's id and its own.

Answers that state 'not run' without the stamp of work, where a status says otherwise, are a trouble of their own (statements): the pages do not say how they are to be read.

Run: one server by hand, 60 requests on kept connections.

--- a/tests/soak/run_command.cpp
+++ b/tests/soak/run_command.cpp
@@ -21,27 +21,6 @@
     bool keep = false;
 };
 
-// Reads names separated by commas; "all" stands for every trouble.
-auto readTroubles(const std::string &text) -> std::optional<std::set<scene_trouble>>
-{
-    std::set<scene_trouble> read;
-    std::string_view rest = text;
-    while (!rest.empty()) {
-        const auto name = rest.substr(0, rest.find(','));
-        rest.remove_prefix(std::min(name.size() + 1, rest.size()));
-        const auto trouble = valueIn(sceneTroubleNames, name);
-        if (!trouble && name != "all")
-            return std::nullopt;
-        if (trouble)
-            read.insert(*trouble);
-        for (const auto &entry : sceneTroubleNames) {
-            if (!trouble)
-                read.insert(entry.value);
-        }
-    }
-    return read;
-}
-
 auto makeDirectory() -> std::string
 {
     auto name = (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
@@ -91,7 +70,7 @@
     known.add_options()("workers", options::value(&scene.workerThreads), "threads of each host");
     known.add_options()("troubles", options::value(&run.troubles),
                         "names separated by commas: answers, bodies, callers, hosts, servers, "
-                        "links, moves, all");
+                        "links, moves, all (of these), statements");
     known.add_options()("program", options::value(&scene.hostProgram)->required(),
                         "the program of the hosts");
     known.add_options()("keep", options::bool_switch(&run.keep), "keep the records in any case");
--- a/tests/soak/scene.cpp
+++ b/tests/soak/scene.cpp
@@ -8,6 +8,34 @@
 
 namespace parsleyloft {
 
+auto readTroubles(const std::string &text) -> std::optional<std::set<scene_trouble>>
+{
+    std::set<scene_trouble> read;
+    std::string_view rest = text;
+    while (!rest.empty()) {
+        const auto name = rest.substr(0, rest.find(','));
+        rest.remove_prefix(std::min(name.size() + 1, rest.size()));
+        const auto trouble = valueIn(sceneTroubleNames, name);
+        if (!trouble && name != "all")
+            return std::nullopt;
+        if (trouble)
+            read.insert(*trouble);
+        for (const auto &entry : sceneTroubleNames) {
+            if (!trouble && entry.value != scene_trouble::Statements)
+                read.insert(entry.value);
+        }
+    }
+    return read;
+}
+
+auto toText(const std::set<scene_trouble> &troubles) -> std::string
+{
+    std::string text;
+    for (const auto trouble : troubles)
+        text += (text.empty() ? "" : ",") + std::string(nameIn(sceneTroubleNames, trouble));
+    return text;
+}
+
 auto makeRandom(std::uint64_t seed, std::string_view name) -> pcg32
 {
     return pcg32(stableHash(name, seed));
--- a/tests/soak/scene.h
+++ b/tests/soak/scene.h
@@ -31,9 +31,12 @@
     Links,
     // Servers of the keyed service come and go, so that keys move.
     Moves,
+    // Servers run requests, and state in answers without the stamp of work that they have not.
+    // Played only if named: the platform's pages do not say how such answers are to be read.
+    Statements,
 };
 
-inline constexpr name_table<scene_trouble, 7> sceneTroubleNames{{
+inline constexpr name_table<scene_trouble, 8> sceneTroubleNames{{
         {scene_trouble::Answers, "answers"},
         {scene_trouble::Bodies, "bodies"},
         {scene_trouble::Callers, "callers"},
@@ -41,6 +44,7 @@
         {scene_trouble::Servers, "servers"},
         {scene_trouble::Links, "links"},
         {scene_trouble::Moves, "moves"},
+        {scene_trouble::Statements, "statements"},
 }};
 
 struct scene_options
@@ -67,6 +71,11 @@
     return options.troubles.contains(trouble);
 }
 
+// Reads names separated by commas. "all" stands for every trouble but Statements.
+auto readTroubles(const std::string &text) -> std::optional<std::set<scene_trouble>>;
+
+auto toText(const std::set<scene_trouble> &troubles) -> std::string;
+
 // A random number generator for one actor or one request, from the seed and its name.
 auto makeRandom(std::uint64_t seed, std::string_view name) -> pcg32;
 
--- a/tests/soak/server_process.cpp
+++ b/tests/soak/server_process.cpp
@@ -1,16 +1,187 @@
-// A backend server of the soak whose answers are given byte by byte.
+// A backend server of the soak as a process: its connections, and the grants of its keys.
 #include "soak/server_process.h"
 
+#include "codec/json.h"
+#include "generated/site.pb.h"
+#include "platform/wire_names.h"
+#include "soak/server_behaviours.h"
+#include "transport/worker_pool.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <csignal>
+#include <iostream>
+#include <netinet/in.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
 namespace parsleyloft {
 
-auto toArguments(const server_process_options &) -> std::vector<std::string>
+namespace {
+
+// The idle timeout that the answers announce.
+constexpr duration idleLimit = 10s;
+
+auto answerOrder(server_connection &connection, unsigned status, const std::string &otherLines)
+        -> void
+{
+    const auto answer = "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + otherLines
+            + "Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n";
+    if (!sendBytes(connection, answer))
+        closeConnection(connection);
+}
+
+auto grant(serving_process &process, const http_request &request) -> unsigned
+{
+    wire::KeyGrant message;
+    if (!readLenientJson(request.body, message))
+        return 400;
+    const std::lock_guard guard(process.lock);
+    const auto until = monotonicNow() + std::chrono::milliseconds(message.hold_ms());
+    const auto taken = grantKeys(
+            process.grants,
+            {message.from(), message.to(), static_cast<std::uint64_t>(message.fence()), until});
+    return taken ? 200 : 409;
+}
+
+// Returns once the work on the keys has ended.
+auto release(serving_process &process, const http_request &request) -> unsigned
+{
+    wire::KeyRelease message;
+    if (!readLenientJson(request.body, message))
+        return 400;
+    std::unique_lock guard(process.lock);
+    releaseKeys(process.grants,
+                {message.from(), message.to(), static_cast<std::uint64_t>(message.fence()), {}});
+    process.workEnded.wait(guard, [&] {
+        const auto first = process.runningKeys.lower_bound(message.from());
+        return first == process.runningKeys.end() || *first > message.to();
+    });
+    return 200;
+}
+
+auto serveOrder(serving_process &process, server_connection &connection, http_request request)
+        -> void
+{
+    if (!readRequestBody(connection, request)) {
+        closeConnection(connection);
+        return;
+    }
+    const auto &id = process.options.id;
+    const auto idLine = std::string(answeringServerName) + ": " + id + "\r\n";
+    const auto *expected = findHeader(request.headers, expectedServerName);
+    if (expected != nullptr && *expected != id) {
+        answerOrder(connection, 421, idLine + std::string(notExecutedName) + ": 1\r\n");
+        return;
+    }
+    if (targetPath(request.target) == "/grant") {
+        answerOrder(connection, grant(process, request), idLine);
+        return;
+    }
+    const auto status = release(process, request);
+    answerOrder(connection, status, idLine + std::string(handoverName) + ": of-" + id + "\r\n");
+}
+
+auto serveConnection(serving_process &process, int socket) -> void
+{
+    server_connection connection;
+    connection.socket = socket;
+    while (connection.socket >= 0 && awaitBytes(connection, idleLimit)) {
+        auto request = readRequestHead(connection);
+        if (!request)
+            break;
+        const auto path = targetPath(request->target);
+        if (path == "/grant" || path == "/release")
+            serveOrder(process, connection, std::move(*request));
+        else
+            serveRequest(process, connection, std::move(*request));
+    }
+    closeConnection(connection);
+}
+
+// Returns -1 if the address cannot be used.
+auto listenAt(const endpoint &address) -> int
+{
+    const auto listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(address.port);
+    if (::inet_pton(AF_INET, address.address.c_str(), &local.sin_addr) == 1
+        && ::bind(listener, reinterpret_cast<sockaddr *>(&local), sizeof(local)) == 0
+        && ::listen(listener, SOMAXCONN) == 0)
+        return listener;
+    ::close(listener);
+    return -1;
+}
+
+auto serve(const server_process_options &options) -> exit_code
+{
+    // The process that plays the scene may be killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    serving_process process;
+    process.options = options;
+    const auto events = openJournal(options.journalPath, options.id);
+    const auto listener = listenAt(options.address);
+    if (!events || listener < 0) {
+        std::cerr << "the journal or the address " << formatEndpoint(options.address)
+                  << " cannot be used\n";
+        return exit_code::Failed;
+    }
+    process.events = *events;
+    while (true) {
+        const auto socket = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (socket >= 0)
+            std::thread(serveConnection, std::ref(process), socket).detach();
+        else if (errno != EINTR && errno != ECONNABORTED)
+            return exit_code::Failed;
+    }
+}
+
+} // namespace
+
+auto toArguments(const server_process_options &options) -> std::vector<std::string>
 {
-    return {"server"};
+    std::vector<std::string> arguments{"server",
+                                       "--seed=" + std::to_string(options.seed),
+                                       "--id=" + options.id,
+                                       "--address=" + formatEndpoint(options.address),
+                                       "--journal=" + options.journalPath,
+                                       "--troubles=" + toText(options.troubles)};
+    if (options.keyed)
+        arguments.push_back("--keyed");
+    return arguments;
 }
 
-auto runServerProcess(const arguments &) -> exit_code
+auto runServerProcess(const arguments &rest) -> exit_code
 {
-    return exit_code::Failed;
+    namespace options = boost::program_options;
+    server_process_options server;
+    std::string address;
+    std::string troubles;
+    options::options_description known("options");
+    known.add_options()("help", "show this text");
+    known.add_options()("seed", options::value(&server.seed), "draws what the server does");
+    known.add_options()("id", options::value(&server.id)->required(), "the server's id");
+    known.add_options()("address", options::value(&address)->required(), "ip:port");
+    known.add_options()("journal", options::value(&server.journalPath), "the file of its events");
+    known.add_options()("troubles", options::value(&troubles), "those of the scene");
+    known.add_options()("keyed", options::bool_switch(&server.keyed), "it needs grants of keys");
+    options::variables_map values;
+    if (const auto exitCode = parseOptions(rest, known, {}, values))
+        return *exitCode;
+    const auto parsedAddress = parseEndpoint(address);
+    const auto parsedTroubles = readTroubles(troubles);
+    if (!parsedAddress || !parsedTroubles) {
+        std::cerr << "the address or the troubles are invalid\n";
+        return exit_code::Usage;
+    }
+    server.address = *parsedAddress;
+    server.troubles = *parsedTroubles;
+    return serve(server);
 }
 
 } // namespace parsleyloft
