Disturb the links of the soak's processes by proxies

Each direction of a connection holds parts, with the time at which they are due, and passes them on when the link lets it. Ends and resets of connections are parts too, so that a silent link hides them as it hides bytes.

The probes by which a scene waits for its hosts got two Host headers and thus 400, so no scene began; they keep their own header now.

--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -11,15 +11,16 @@
 
 enum class link_state : std::uint8_t {
     Open,
-    // Bytes of both directions arrive later.
+    // Bytes of both directions arrive later, and so do the ends of connections.
     Delayed,
-    // Bytes of one direction are held back until the link is open again, and new connections are
-    // accepted but carry nothing in that direction.
+    // Nothing passes in one direction, the ends of connections included, until the link is open or
+    // delayed again. What was held back arrives then. New connections are accepted, and reach the
+    // server only then if the direction to it is silent.
     SilentToServer,
     SilentToClient,
     // All connections are reset, and new ones too.
     Reset,
-    // New connections get no answer, open ones carry nothing.
+    // Silent in both directions.
     Cut,
 };
 
@@ -32,6 +33,8 @@
         {link_state::Cut, "cut"},
 }};
 
+// Each direction of a connection holds back a few parts of 16 KB at most. Beyond them the proxy
+// reads no further, so that the sender is slowed down by its own socket.
 struct link_proxy
 {
     struct internals;
@@ -42,7 +45,7 @@
 auto startProxy(worker_pool &pool, const endpoint &address, const endpoint &target)
         -> result<link_proxy>;
 
-// The delay applies to the state Delayed.
+// Takes effect on a worker, soon after the call. The delay applies to the state Delayed.
 auto setLink(link_proxy &proxy, link_state state, duration delay = 0us) -> void;
 
 } // namespace parsleyloft
--- a/tests/soak/scene_run.cpp
+++ b/tests/soak/scene_run.cpp
@@ -9,13 +9,14 @@
 #include "soak/server_process.h"
 #include "support/child_process.h"
 #include "support/site_settings.h"
-#include "transport/blocking_call.h"
+#include "transport/http_client.h"
 
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <iostream>
 #include <map>
 #include <sys/wait.h>
@@ -192,24 +193,33 @@
     return configuration;
 }
 
-// Waits until each host is ready and answers a request of each service.
+// Sends a request that the scene does not count, and returns the status.
+auto probeHost(running_scene &scene, int host, std::string_view prefix) -> unsigned
+{
+    static int probes = 0;
+    http_request request;
+    request.target = std::string(prefix) + "probe";
+    request.headers["Host"] = std::string(callerHostName);
+    request.headers["X-Request-Id"] = "probe-" + std::to_string(++probes);
+    request.headers["X-Deadline-Ms"] = "1000";
+    request.headers["X-Shard-Key"] = "7";
+    http_send_options options;
+    options.timeout = 2s;
+    options.preserveHeaders = true;
+    std::promise<unsigned> status;
+    sendHttp(scene.client, hostAddress(scene, host), std::move(request), options,
+             [&](const http_outcome &outcome) { status.set_value(outcome.response.status); });
+    return status.get_future().get();
+}
+
+// Waits until each host answers a request of each service.
 auto awaitServing(running_scene &scene) -> void
 {
-    const auto serves = [&](int host, std::string_view prefix) {
-        static int probes = 0;
-        http_request request;
-        request.target = std::string(prefix) + "probe";
-        request.headers["Host"] = std::string(callerHostName);
-        request.headers["X-Request-Id"] = "probe-" + std::to_string(++probes);
-        request.headers["X-Shard-Key"] = "7";
-        http_outcome outcome;
-        outcome = callAndWait(scene.client, hostAddress(scene, host), std::move(request), 2s);
-        return outcome.response.status == 200;
-    };
     for (const auto &host : scene.hosts) {
         waitUntil("host " + std::to_string(host.number) + " serves", [&] {
-            return serves(host.number, plainOrderPrefix)
-                    && (scene.options.keyedServers == 0 || serves(host.number, keyedOrderPrefix));
+            return probeHost(scene, host.number, plainOrderPrefix) == 200
+                    && (scene.options.keyedServers == 0
+                        || probeHost(scene, host.number, keyedOrderPrefix) == 200);
         });
     }
 }
