Log where an attempt was sent and what its answer stated

Three ways in which an order that ran could be called not run looked alike in the logs: the answer of another request, the copy of the order's own earlier refusal, and a server whose statement is false. attempt_failed now names the address, whether the connection was used before, whether the answer states that the request has not run, and whether it names another server than the one asked.

--- a/router/flow_state.h
+++ b/router/flow_state.h
@@ -49,6 +49,8 @@
     std::optional<http_response> serverFailure;
 
     held_permit permit;
+    // Where the request was sent last.
+    endpoint serverAddress;
     // The incarnation of the permit's server.
     std::int64_t serverStartMs = 0;
     instant permitRequestedAt{};
--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -306,6 +306,7 @@
             ? maxIdleAgeIdempotent
             : maxIdleAgeAtMostOnce;
     flow->permit = permit;
+    flow->serverAddress = address;
     flow->sentAt = now;
     const auto exchange = sendHttp(
             flow->router.servers, address,
@@ -330,14 +331,18 @@
 }
 
 auto logFailedAttempt(const request_flow &flow, permit_result result, const attempt_report &report,
-                      attempt_action action, duration latency) -> void
+                      bool reusedConnection, attempt_action action, duration latency) -> void
 {
     logEvent(log_level::Info, "attempt_failed",
              {{"request", flow.callerRequest.id},
               {"server", flow.permit.server},
+              {"address", formatEndpoint(flow.serverAddress)},
+              {"connection", reusedConnection ? "reused" : "new"},
               {"ended", std::string(nameIn(permitResultNames, result))},
               {"transport", std::string(nameIn(transportResultNames, report.transport))},
               {"status", std::to_string(report.status)},
+              {"states_not_run", report.notExecuted ? "yes" : "no"},
+              {"other_server", report.otherServer ? "yes" : "no"},
               {"took_ms", std::to_string(toMilliseconds(latency))},
               {"next_action", std::string(nameIn(attemptActionNames, action))}});
 }
@@ -402,7 +407,7 @@
                                 minAttemptTime};
     const auto action = nextAction(flow->history, limits, flow->deadline - now);
     if (attemptResult != permit_result::Answered)
-        logFailedAttempt(*flow, attemptResult, report, action, latency);
+        logFailedAttempt(*flow, attemptResult, report, outcome.reused, action, latency);
     auto response = std::move(outcome.response);
     if (action == attempt_action::Respond) {
         if (response.rest)
--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -559,6 +559,7 @@
     const auto output = outputOf(*this, 0);
     CHECK(output.find("ended=lost") != std::string::npos);
     CHECK(output.find("reason=server_lost") != std::string::npos);
+    CHECK(output.find("states_not_run=no other_server=no") != std::string::npos);
 }
 
 TEST_CASE_METHOD(two_hosts, "host_serves_its_state_and_metrics")
