Carry no request id twice on a connection

Callers of orders got 503 ("not run and never will be") for orders that ran: the host took the second copy of the refusal of the order's earlier attempt for the answer of its later one, on the same connection.

Change: each connection keeps the ids that it has carried, is passed over for a request with one of them, and is closed after 256. With one request for each id, a matched answer on a connection can only be that request's. The choice of the request flow for a new connection goes.

Test changed: request_for_a_new_connection_reuses_none sent one id three times and expected a reused connection; it sends three ids now and checks the same.

--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -298,10 +298,6 @@
     options.connectTimeout = connectLimit;
     options.maxSendDelay = maxSendDelay;
     options.heldBytes = flow->router.heldAnswerBytes;
-    // A connection that carried an earlier attempt may bring its refusal, with the request's id,
-    // once more.
-    options.newConnection = std::find(flow->excluded.begin(), flow->excluded.end(), permit.server)
-            != flow->excluded.end();
     options.maxIdleAge = flow->matchedRoute->kind == repeatability::Idempotent
             ? maxIdleAgeIdempotent
             : maxIdleAgeAtMostOnce;
--- a/tests/transport/http_stream_test.cpp
+++ b/tests/transport/http_stream_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <map>
 
 namespace parsleyloft {
 
@@ -63,6 +64,16 @@
         return promise->get_future().get();
     }
 
+    auto callWithId(const std::string &id) -> http_outcome { return call(2s, heldBytes, "Id", id); }
+
+    // Answers a request with its id.
+    static auto answerWithId(raw_connection &connection) -> bool
+    {
+        return sendAll(connection,
+                       "HTTP/1.1 200 OK\r\nId: " + rawHeader(connection, "Id")
+                               + "\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n");
+    }
+
     static auto nextPart(body_stream &stream) -> body_part
     {
         auto promise = std::make_shared<std::promise<body_part>>();
@@ -237,6 +248,26 @@
     }
 }
 
+// Guards against REFUSED: the copy of the refusal that an earlier request with the same id got
+// comes first where the answer of the later one is due.
+TEST_CASE_METHOD(client_of_a_raw_server,
+                 "refusal_of_an_earlier_request_with_the_same_id_is_skipped", "[stream]")
+{
+    const std::string refusal = "HTTP/1.1 503 Refused\r\nId: r1\r\nX-Not-Executed: 1\r\n"
+                                "Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n";
+    std::map<int, std::string> refusals;
+    serve([&](raw_connection &connection) {
+        if (refusals.empty())
+            return sendAll(connection, refusals[connection.socket] = refusal);
+        return sendAll(connection,
+                       refusals[connection.socket] + ownHead + "Content-Length: 3\r\n\r\nown");
+    });
+    CHECK(call().response.status == 503);
+    const auto outcome = call();
+    CHECK(outcome.failure == http_failure::None);
+    CHECK(outcome.response.body == "own");
+}
+
 // An answer without an id, such as that of a server to an order, belongs to a request without one.
 TEST_CASE_METHOD(client_of_a_raw_server, "request_without_an_id_skips_answers_with_one", "[stream]")
 {
@@ -260,13 +291,34 @@
 
 TEST_CASE_METHOD(client_of_a_raw_server, "request_for_a_new_connection_reuses_none", "[stream]")
 {
-    serve([](raw_connection &connection) {
-        return sendAll(connection, ownHead + "Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n");
-    });
-    CHECK_FALSE(call().reused);
-    CHECK(call().reused);
+    serve(answerWithId);
+    CHECK_FALSE(callWithId("r1").reused);
+    CHECK(callWithId("r2").reused);
     newConnection = true;
-    CHECK_FALSE(call().reused);
+    CHECK_FALSE(callWithId("r3").reused);
+}
+
+TEST_CASE_METHOD(client_of_a_raw_server, "connection_carries_no_id_twice", "[stream]")
+{
+    serve(answerWithId);
+    CHECK_FALSE(callWithId("r1").reused);
+    CHECK(callWithId("r2").reused);
+    CHECK_FALSE(callWithId("r1").reused);
+    // Both connections have carried r1, and one of them r2.
+    CHECK_FALSE(callWithId("r1").reused);
+    CHECK(callWithId("r2").reused);
+    CHECK(callWithId("r3").reused);
+}
+
+TEST_CASE_METHOD(client_of_a_raw_server, "connection_is_closed_when_it_has_carried_many_requests",
+                 "[stream]")
+{
+    serve(answerWithId);
+    constexpr int calls = 1000;
+    for (int index = 0; index < calls; ++index)
+        CHECK(callWithId("r" + std::to_string(index)).failure == http_failure::None);
+    CHECK(server->connections > 1);
+    CHECK(server->connections < 10);
 }
 
 // A server that stops in the middle of its answer's head: a parser that takes the end of the
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -48,6 +48,8 @@
 constexpr std::size_t maxSkippedBytes = std::size_t(1024) * 1024;
 // Unanswered keep-alive probes after which the kernel closes a connection.
 constexpr int keepAliveProbeCount = 2;
+// Bounds the memory for the ids of the requests that a connection has carried.
+constexpr std::size_t maxCarriedIds = 256;
 
 struct open_connection
 {
@@ -71,6 +73,10 @@
     bool exchangeOpen = false;
     // True once the connection has carried a request.
     bool usedBefore = false;
+    // Hashes of the ids that responses on this connection were matched by. Invariant: no id is
+    // carried twice, because a second copy of the first response to it could not be told from the
+    // later one.
+    std::vector<std::size_t> carriedIds;
     // Valid while idle: when the last exchange ended, and until when the server is expected to
     // keep the connection open.
     instant idleSince{};
@@ -123,8 +129,20 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-auto takeIdle(http_client::internals &client, const endpoint &to, duration maxIdleAge)
-        -> shared_connection
+auto hashOfId(const std::string &id) -> std::size_t
+{
+    return std::hash<std::string>()(id);
+}
+
+auto hasCarried(const open_connection &connection, const std::string &id) -> bool
+{
+    const auto &carried = connection.carriedIds;
+    return !id.empty() && std::find(carried.begin(), carried.end(), hashOfId(id)) != carried.end();
+}
+
+// Returns the most recently used connection that may carry a request with the id, or null.
+auto takeIdle(http_client::internals &client, const endpoint &to, duration maxIdleAge,
+              const std::string &id) -> shared_connection
 {
     const auto now = monotonicNow();
     const std::lock_guard guard(client.lock);
@@ -132,13 +150,16 @@
     if (found == client.idle.end())
         return nullptr;
     auto &list = found->second;
-    while (!list.empty()) {
-        auto last = list.back();
-        if (now - last->idleSince > maxIdleAge)
+    for (auto next = list.size(); next > 0; --next) {
+        const auto position = list.begin() + static_cast<std::ptrdiff_t>(next) - 1;
+        const auto connection = *position;
+        if (now - connection->idleSince > maxIdleAge)
             return nullptr;
-        list.pop_back();
-        if (!isStale(*last, now))
-            return last;
+        if (hasCarried(*connection, id))
+            continue;
+        list.erase(position);
+        if (!isStale(*connection, now))
+            return connection;
     }
     return nullptr;
 }
@@ -162,6 +183,8 @@
 auto keepIdle(http_client::internals &client, const endpoint &to, shared_connection connection,
               duration idleLimit) -> void
 {
+    if (connection->carriedIds.size() >= maxCarriedIds)
+        return;
     connection->usedBefore = true;
     connection->idleSince = monotonicNow();
     connection->idleUntil = connection->idleSince + idleLimit;
@@ -519,6 +542,8 @@
     const auto &header = job.options.matchHeader;
     if (!header.empty())
         reader->expectedValue = std::string(message[header]);
+    if (!reader->expectedValue.empty())
+        reader->connection->carriedIds.push_back(hashOfId(reader->expectedValue));
     boost::system::error_code error;
     reader->connection->stream.expires_at(job.deadline);
     reader->connection->exchangeOpen = true;
@@ -626,7 +651,8 @@
 {
     auto exchange = std::make_shared<http_exchange::internals>();
     if (!options.newConnection)
-        exchange->connection = takeIdle(*client.impl, to, options.maxIdleAge);
+        exchange->connection = takeIdle(*client.impl, to, options.maxIdleAge,
+                                        headerValue(request.headers, options.matchHeader));
     if (exchange->connection)
         exchange->executor = exchange->connection->stream.get_executor();
     else
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -52,7 +52,8 @@
     duration timeout = 1s;
     // Name of a request header that the response must repeat unchanged; empty for none.
     // Responses with another value, or without the header, belong to other requests and are
-    // skipped. A request without the header gets the first response without it.
+    // skipped. A request without the header gets the first response without it. No connection
+    // carries two requests with the same value.
     std::string matchHeader;
     // Send over a connection that has carried no earlier request.
     bool newConnection = false;
