Take a statement of "not run" only beside a status of refusal

An answer with X-Not-Executed counted as "not run" whatever its status, so a 500 or 200 of a server that ran an order, with the statement beside it and without the stamp, was answered 503.

--- a/decisions/attempt_rules.cpp
+++ b/decisions/attempt_rules.cpp
@@ -21,10 +21,13 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-// The stamp marks answers of work that has run.
+// A statement counts only beside a status of a refused request, and without the stamp, which marks
+// answers of work that has run.
 auto statesNotRun(const attempt_report &report) -> bool
 {
-    return (report.notExecuted || report.status == 421) && !report.hasServerStamp;
+    const auto refused = report.status == 400 || isRefusalStatus(report.status);
+    const auto stated = report.notExecuted || report.status == 421;
+    return refused && stated && !report.hasServerStamp;
 }
 
 auto hasNotRun(permit_result result) -> bool
--- a/tests/decisions/attempt_rules_test.cpp
+++ b/tests/decisions/attempt_rules_test.cpp
@@ -65,6 +65,16 @@
     CHECK(classifyAttempt(makeReport(421, true)) == permit_result::Lost);
 }
 
+// Guards against REFUSED: a status that stands for work that has run, beside the statement that it
+// has not.
+TEST_CASE_METHOD(request_in_progress, "statement_beside_a_status_of_work_ends_unknown", "[attempt]")
+{
+    const auto status = GENERATE(200U, 204U, 302U, 404U, 500U, 502U, 504U);
+    const auto result = classifyAttempt(makeReport(status, false, true));
+    CHECK(result == permit_result::Lost);
+    CHECK(actionAfter(result, repeatability::AtMostOnce) == attempt_action::Fail);
+}
+
 TEST_CASE_METHOD(request_in_progress, "at_most_once_request_after_a_lost_answer_ends_unknown",
                  "[attempt]")
 {
