Let child processes of tests inherit no sockets

The hosts of a soak inherited the listening sockets of the store and of the proxies, and the proxies' connections.

Children get no descriptors beyond the outputs, and a range of ports is only claimed if all of its ports are free.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -20,6 +20,34 @@
 constexpr auto waitTimeout = std::chrono::seconds(60);
 constexpr std::uint16_t portsPerRange = 100;
 
+// Returns -1 if the port is in use.
+auto bindPort(int port, bool reusesAddress) -> int
+{
+    const auto bound = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int reuse = reusesAddress ? 1 : 0;
+    setsockopt(bound, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (bind(bound, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0)
+        return bound;
+    close(bound);
+    return -1;
+}
+
+// False if one of the ports is in use, as by a process that an interrupted test left behind.
+auto areFree(int firstPort, int count) -> bool
+{
+    for (int port = firstPort; port < firstPort + count; ++port) {
+        const auto bound = bindPort(port, true);
+        if (bound < 0)
+            return false;
+        close(bound);
+    }
+    return true;
+}
+
 } // namespace
 
 port_claim::port_claim()
@@ -28,12 +56,10 @@
     constexpr int ranges = 200;
     for (int step = 0; step < ranges; ++step) {
         const auto first = base + (getpid() + step) % ranges * portsPerRange;
-        const auto claim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(static_cast<std::uint16_t>(first + portsPerRange - 1));
-        if (bind(claim, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0) {
+        const auto claim = bindPort(first + portsPerRange - 1, false);
+        if (claim < 0)
+            continue;
+        if (areFree(first, portsPerRange - 1)) {
             firstPort = static_cast<std::uint16_t>(first);
             socket = claim;
             return;
@@ -61,6 +87,9 @@
     constexpr int append = O_WRONLY | O_CREAT | O_APPEND;
     posix_spawn_file_actions_addopen(&actions, 1, outputPath.c_str(), append, 0600);
     posix_spawn_file_actions_addopen(&actions, 2, errorPath.c_str(), append, 0600);
+    // A socket that a child inherits stays open after this process has closed it.
+    constexpr int firstInherited = 3;
+    posix_spawn_file_actions_addclosefrom_np(&actions, firstInherited);
     pid_t pid = 0;
     const auto failed =
             posix_spawn(&pid, program.c_str(), &actions, nullptr, values.data(), environ);
