Restart and drain servers in the soak's scenes

Two ways in which a server ends were missing: it starts again under the id that it had, and it announces that it leaves before it ends.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -34,7 +34,7 @@
             {scene_trouble::Servers,
              servers,
              {fault_kind::FreezeServer, fault_kind::KillServer, fault_kind::KillServer,
-              fault_kind::ReplaceServer},
+              fault_kind::RestartServer, fault_kind::DrainServer, fault_kind::ReplaceServer},
              300,
              1500,
              50,
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -14,6 +14,11 @@
     FreezeServer,
     // The server starts again under a new id at its address. Its earlier entry lapses later.
     KillServer,
+    // The server starts again under its id at its address.
+    RestartServer,
+    // The server announces that it leaves, serves on for the time of the fault, and ends as by
+    // KillServer.
+    DrainServer,
     // The server's address goes to a server of the other service.
     ReplaceServer,
     DelayLink,
@@ -24,12 +29,14 @@
     EvacuateDomain,
 };
 
-inline constexpr name_table<fault_kind, 12> faultKindNames{{
+inline constexpr name_table<fault_kind, 14> faultKindNames{{
         {fault_kind::FreezeHost, "freeze_host"},
         {fault_kind::KillHost, "kill_host"},
         {fault_kind::TerminateHost, "terminate_host"},
         {fault_kind::FreezeServer, "freeze_server"},
         {fault_kind::KillServer, "kill_server"},
+        {fault_kind::RestartServer, "restart_server"},
+        {fault_kind::DrainServer, "drain_server"},
         {fault_kind::ReplaceServer, "replace_server"},
         {fault_kind::DelayLink, "delay_link"},
         {fault_kind::SilenceLinkToServer, "silence_link_to_server"},
--- a/tests/soak/scene_run.cpp
+++ b/tests/soak/scene_run.cpp
@@ -51,8 +51,10 @@
     int number = 0;
     endpoint address;
     bool keyed = false;
-    // Counts the processes at the address so far.
+    // Counts the ids at the address so far, and the processes, of which several may have one id.
     int incarnation = 0;
+    int starts = 0;
+    std::int64_t startTimeMs = 0;
     // 0 while the server does not run.
     pid_t pid = 0;
 };
@@ -134,8 +136,13 @@
                             path + ".out", path + ".out");
 }
 
+enum class server_state : std::uint8_t {
+    Ready,
+    Draining,
+};
+
 // Writes the entry of the server's present incarnation.
-auto announceServer(running_scene &scene, const scene_server &server) -> void
+auto announceServer(running_scene &scene, const scene_server &server, server_state state) -> void
 {
     const auto address = linkAddress(scene, serverLink(scene, server), server.address);
     keyed_server_options entry;
@@ -143,25 +150,30 @@
     entry.service = std::string(server.keyed ? keyedService : plainService);
     entry.domain = std::string(domainNames[server.number % 2]);
     entry.slots = serverSlots;
-    entry.startTimeMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                std::chrono::system_clock::now().time_since_epoch())
-                                .count();
-    putServerEntry(*scene.store, entry, address);
+    entry.startTimeMs = server.startTimeMs;
+    const auto draining = state == server_state::Draining;
+    putServerEntry(*scene.store, entry, address, draining ? 2 : 1, draining);
 }
 
+// Starts the server under its present id.
 auto startServer(running_scene &scene, scene_server &server) -> void
 {
-    ++server.incarnation;
+    ++server.starts;
+    server.startTimeMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                 std::chrono::system_clock::now().time_since_epoch())
+                                 .count();
     server_process_options options;
     options.seed = scene.options.seed;
     options.id = serverId(server);
     options.address = server.address;
-    options.journalPath = scene.options.directory + "/" + options.id + ".journal";
+    const auto path =
+            scene.options.directory + "/" + options.id + "-" + std::to_string(server.starts);
+    options.journalPath = path + ".journal";
     options.keyed = server.keyed;
     options.troubles = scene.options.troubles;
-    const auto output = scene.options.directory + "/" + options.id + ".out";
+    const auto output = path + ".out";
     server.pid = spawnProcess(scene.options.ownProgram, toArguments(options), output, output);
-    announceServer(scene, server);
+    announceServer(scene, server, server_state::Ready);
 }
 
 auto endProcess(pid_t &pid) -> void
@@ -235,7 +247,7 @@
         scene.hosts.push_back({number, 0});
     for (int number = 0; number < options.plainServers + options.keyedServers; ++number)
         scene.servers.push_back(
-                {number, portAt(scene.serverPorts, number), number >= options.plainServers, 0, 0});
+                {number, portAt(scene.serverPorts, number), number >= options.plainServers, 1});
     if (plays(options, scene_trouble::Links)) {
         for (const auto &host : scene.hosts)
             addProxy(scene, hostAddress(scene, host.number));
@@ -316,6 +328,7 @@
     scene.agenda.emplace(until, [&scene, &server, keyed, until] {
         const auto earlier = serverId(server);
         server.keyed = keyed;
+        ++server.incarnation;
         startServer(scene, server);
         scene.agenda.emplace(until + entryLapse, [&scene, earlier] {
             putItem(*scene.store, "servers/" + earlier, "");
@@ -323,6 +336,26 @@
     });
 }
 
+auto restartServer(running_scene &scene, scene_server &server, duration until) -> void
+{
+    if (server.pid == 0)
+        return;
+    endProcess(server.pid);
+    scene.agenda.emplace(until, [&scene, &server] { startServer(scene, server); });
+}
+
+auto drainServer(running_scene &scene, scene_server &server, duration until) -> void
+{
+    if (server.pid == 0)
+        return;
+    announceServer(scene, server, server_state::Draining);
+    scene.agenda.emplace(until, [&scene, &server, until, drained = server.pid] {
+        constexpr duration startTime = 200ms;
+        if (server.pid == drained)
+            replaceServer(scene, server, server.keyed, until + startTime);
+    });
+}
+
 auto beginFault(running_scene &scene, const scheduled_fault &fault) -> void
 {
     const auto until = fault.at + fault.length;
@@ -350,6 +383,12 @@
     case fault_kind::KillServer:
         replaceServer(scene, scene.servers[target], scene.servers[target].keyed, until);
         return;
+    case fault_kind::RestartServer:
+        restartServer(scene, scene.servers[target], until);
+        return;
+    case fault_kind::DrainServer:
+        drainServer(scene, scene.servers[target], until);
+        return;
     case fault_kind::ReplaceServer:
         replaceServer(scene, scene.servers[target], !scene.servers[target].keyed, until);
         return;
