Start the soak's servers without troubles

An empty list of troubles was no value for the option, so that the servers of a calm scene ended at once.

--- a/tests/soak/server_process.cpp
+++ b/tests/soak/server_process.cpp
@@ -145,12 +145,11 @@
 
 auto toArguments(const server_process_options &options) -> std::vector<std::string>
 {
-    std::vector<std::string> words{"server",
-                                   "--seed=" + std::to_string(options.seed),
-                                   "--id=" + options.id,
-                                   "--address=" + formatEndpoint(options.address),
-                                   "--journal=" + options.journalPath,
-                                   "--troubles=" + toText(options.troubles)};
+    std::vector<std::string> words{
+            "server", "--seed=" + std::to_string(options.seed), "--id=" + options.id,
+            "--address=" + formatEndpoint(options.address), "--journal=" + options.journalPath};
+    if (!options.troubles.empty())
+        words.push_back("--troubles=" + toText(options.troubles));
     if (options.keyed)
         words.push_back("--keyed");
     return words;
