Test that the store's news leaves running orders alone

An order that runs while its server's entry is removed, drains, starts again or is evacuated, or while the store is away, gets its own answer.

--- a/tests/process/not_run_test.cpp
+++ b/tests/process/not_run_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
 #include <set>
 
 namespace parsleyloft {
@@ -189,4 +190,48 @@
     CHECK(runs > 0);
 }
 
+// Guards against REFUSED: what the store says of a server shows nothing about the requests that it
+// runs.
+TEST_CASE_METHOD(site_cluster, "order_that_runs_while_its_server_leaves_the_store_is_answered")
+{
+    keyed_server_faults slow;
+    slow.serviceTime = 800ms;
+    for (auto &[id, server] : servers)
+        setServerFaults(server, slow);
+    std::vector<std::future<http_outcome>> running;
+    for (int index = 0; index < 4; ++index)
+        running.push_back(std::async(std::launch::async, [&, index] {
+            return callHost(*this, index % 2, order("running-" + std::to_string(index)));
+        }));
+    waitUntil("the orders run", [&] {
+        return countArrivals(servers["shop-a"]) + countArrivals(servers["shop-b"]) >= 4;
+    });
+    for (const auto *id : {"shop-a", "shop-b"}) {
+        SECTION(std::string("removed_") + id)
+        {
+            putItem(*store, std::string("servers/") + id, "");
+        }
+        SECTION(std::string("draining_") + id)
+        {
+            publishServerState(servers[id], *store, true);
+        }
+        SECTION(std::string("started_again_") + id)
+        {
+            putServerEntry(*store, {id, "shop", "a", 3, false, 5000}, addressOf(servers[id]));
+        }
+    }
+    SECTION("evacuated_domain")
+    {
+        putItem(*store, "op/evacuate/a", "{}");
+    }
+    SECTION("unreachable_store")
+    {
+        store_faults away;
+        away.unavailable = true;
+        setStoreFaults(*store, away);
+    }
+    for (auto &outcome : running)
+        CHECK(outcome.get().response.status == 200);
+}
+
 } // namespace parsleyloft
