--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,7 +1,7 @@
 // The callers of the soak: threads that send requests over plain sockets.
 #include "soak/callers.h"
 
-#include "soak/answer_reader.h"
+#include "support/answer_reader.h"
 #include "soak/call_plan.h"
 #include "transport/worker_pool.h"
 
--- a/tests/soak/answer_reader.cpp
+++ b/tests/support/answer_reader.cpp
@@ -1,5 +1,5 @@
 // Reads the answers that a caller receives.
-#include "soak/answer_reader.h"
+#include "support/answer_reader.h"
 
 #include <algorithm>
 #include <charconv>
--- a/tests/soak/answer_reader.h
+++ b/tests/support/answer_reader.h
@@ -1,7 +1,7 @@
 // Reads the answers that a caller receives, byte by byte and without the code of the hosts.
 #pragma once
 
-#include "soak/caller_socket.h"
+#include "support/caller_socket.h"
 
 #include <optional>
 
--- a/tests/soak/caller_socket.cpp
+++ b/tests/support/caller_socket.cpp
@@ -1,5 +1,5 @@
 // A plain socket of a caller.
-#include "soak/caller_socket.h"
+#include "support/caller_socket.h"
 
 #include "transport/worker_pool.h"
 
