--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,8 +1,8 @@
 // The callers of the soak: threads that send requests over plain sockets.
 #include "soak/callers.h"
 
-#include "support/answer_reader.h"
 #include "soak/call_plan.h"
+#include "support/answer_reader.h"
 #include "transport/worker_pool.h"
 
 #include <algorithm>
