--- a/tests/soak/link_proxy_test.cpp
+++ b/tests/soak/link_proxy_test.cpp
@@ -2,7 +2,7 @@
 // and resets of both sides.
 #include "soak/link_proxy.h"
 
-#include "soak/caller_socket.h"
+#include "support/caller_socket.h"
 
 #include <catch2/catch.hpp>
 
