Show further requests that are answered against what became of them

The copy of an earlier answer that breaks off inside a line with the text "HTTP/1.": containsStatusLine looks at the first such text of a line only, so the status line of the answer behind it is not seen, and the answer's id and length are read as those of the copy. An order that failed with 500 gets 503 behind a refusal, and 200 behind a success.

A caller that names X-Request-Id in its Connection header: the id is not forwarded, and the client then takes the first answer without an id.

TRACE with a body: Beast refuses to encode it by an exception, which ends the coroutine without a result; the caller gets no answer.

Found by reading; no run shows servers or callers that do so.

--- a/tests/process/not_run_test.cpp
+++ b/tests/process/not_run_test.cpp
@@ -234,4 +234,95 @@
         CHECK(outcome.get().response.status == 200);
 }
 
+// Guards against REFUSED and TWICE: the status 421 alone counts as the statement that the order has
+// not run, although no response without X-Not-Executed states this.
+TEST_CASE_METHOD(hosts_before_a_server_that_runs,
+                 "order_answered_421_without_the_statement_runs_once_and_is_not_called_not_run")
+{
+    // A second entry at the same address, so that an order may be sent again.
+    announce("second");
+    answerWith("421 Other", GENERATE(as<std::string>{}, "", "X-Instance-Id: raw\r\n"));
+    std::size_t sent = 0;
+    for (int index = 0; index < 4; ++index) {
+        std::this_thread::sleep_for(500ms);
+        const int before = runs;
+        const auto call = order("misdirected-" + std::to_string(index));
+        const auto outcome = callHost(*this, index % 2, call);
+        CAPTURE(call.id, outcome.response.status);
+        if (runs == before)
+            continue;
+        ++sent;
+        CHECK(runs == before + 1);
+        CHECK_FALSE(isPromise(outcome));
+    }
+    CHECK(sent > 0);
+}
+
+// Guards against REFUSED and MIXED: the copy of an earlier answer breaks off inside a line that
+// contains "HTTP/1.", so that the status line of the answer behind it is the second such text of
+// the line and the head of the answer is read as the rest of the copy's.
+TEST_CASE_METHOD(hosts_before_a_server_that_runs,
+                 "copy_cut_off_in_a_line_that_names_the_protocol_is_not_the_answer_of_an_order")
+{
+    const auto copy = GENERATE(as<std::string>{}, "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n",
+                               "HTTP/1.1 200 OK\r\nX-Upstream-Stamp: s\r\n");
+    const auto cut = GENERATE(as<std::string>{}, "Via: HTTP/1.1 gateway", "Filler: HTTP/1.");
+    answerOrders([copy, cut](raw_connection &connection) {
+        sendAll(connection, copy + cut);
+        std::this_thread::sleep_for(5ms);
+        return sendAll(connection,
+                       "HTTP/1.1 500 Failed\r\n" + idLine(connection)
+                               + "Content-Length: 0\r\n\r\n");
+    });
+    std::size_t sent = 0;
+    for (int index = 0; index < 4; ++index) {
+        std::this_thread::sleep_for(150ms);
+        const int before = runs;
+        const auto call = order("merged-" + std::to_string(index));
+        const auto outcome = callHost(*this, index % 2, call);
+        CAPTURE(call.id, outcome.response.status);
+        if (runs == before)
+            continue;
+        ++sent;
+        CHECK(runs == before + 1);
+        CHECK_FALSE(isPromise(outcome));
+        CHECK(outcome.response.status >= 500);
+    }
+    CHECK(sent > 0);
+}
+
+// Guards against REFUSED: a caller names X-Request-Id in its Connection header, the server gets no
+// id, and any answer without one counts as the order's own.
+TEST_CASE_METHOD(hosts_before_a_server_that_runs,
+                 "request_id_named_by_the_connection_header_is_forwarded_all_the_same")
+{
+    std::atomic<int> withId = 0;
+    answerOrders([&](raw_connection &connection) {
+        withId += rawHeader(connection, "X-Request-Id") == "named" ? 1 : 0;
+        sendAll(connection, "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(5ms);
+        return sendAll(connection, ownAnswer(connection));
+    });
+    const auto answer = sendRaw(*this, 0,
+                                "DELETE /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                                "X-Request-Id: named\r\nX-Deadline-Ms: 1000\r\n"
+                                "Connection: close, X-Request-Id\r\n\r\n");
+    CHECK(runs == 1);
+    CHECK(withId == 1);
+    CHECK_FALSE(answer.starts_with("HTTP/1.1 503"));
+}
+
+// Guards against LOST: the HTTP library refuses to encode the request, and the exception ends the
+// exchange without a result, so that the caller waits beyond its deadline.
+TEST_CASE_METHOD(hosts_before_a_server_that_runs, "request_that_cannot_be_encoded_gets_an_answer")
+{
+    const auto began = monotonicNow();
+    const auto answer = sendRaw(*this, 0,
+                                "TRACE /shop/item HTTP/1.1\r\nHost: shop.example\r\n"
+                                "X-Request-Id: traced\r\nX-Deadline-Ms: 1000\r\n"
+                                "Connection: close\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(answer.starts_with("HTTP/1.1 "));
+    CHECK(monotonicNow() - began < 2s);
+}
+
 } // namespace parsleyloft
