Test answers that come before the body of their request is read

A server may answer early, keep the connection and read on. The client reads no answer before it has written the whole request, so the rest of the body comes first and the next request follows it; a body that is never read ends unknown, and its connection is closed. Neither was tested.

--- a/tests/transport/http_stream_test.cpp
+++ b/tests/transport/http_stream_test.cpp
@@ -5,8 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <future>
 #include <map>
+#include <sys/socket.h>
 
 namespace parsleyloft {
 
@@ -476,4 +478,80 @@
     }
 }
 
+// A server that answers a request before it has read its body, and reads the body later or never.
+struct client_of_an_early_answering_server : client_of_a_raw_server
+{
+    auto serveEarlyAnswers(bool readsOn) -> void
+    {
+        serve([this, readsOn](raw_connection &connection) {
+            if (rawHeader(connection, "Content-Length").empty()) {
+                laterRequests += connection.request.starts_with("GET / HTTP/1.1") ? 1 : 0;
+                return answerWithId(connection);
+            }
+            sendAll(connection,
+                    "HTTP/1.1 503 No\r\nId: " + rawHeader(connection, "Id")
+                            + "\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n");
+            std::this_thread::sleep_for(100ms);
+            if (!readsOn)
+                std::this_thread::sleep_for(400ms);
+            const auto length = std::stoul(rawHeader(connection, "Content-Length"));
+            body = connection.request.substr(connection.request.find("\r\n\r\n") + 4);
+            std::array<char, 65536> part{};
+            while (readsOn && body.size() < length) {
+                const auto room = std::min(part.size(), length - body.size());
+                const auto count = ::recv(connection.socket, part.data(), room, 0);
+                if (count <= 0)
+                    return false;
+                body.append(part.data(), static_cast<std::size_t>(count));
+            }
+            return readsOn;
+        });
+    }
+
+    auto callWithBody(std::size_t bytes) -> http_outcome
+    {
+        http_request request;
+        request.method = "POST";
+        request.headers["Id"] = "long";
+        request.body = std::string(bytes, 'b');
+        http_send_options options;
+        options.timeout = 300ms;
+        options.matchHeader = "Id";
+        std::promise<http_outcome> promise;
+        sendHttp(client, server->address, std::move(request), options,
+                 [&](http_outcome outcome) { promise.set_value(std::move(outcome)); });
+        return promise.get_future().get();
+    }
+
+    std::string body;
+    std::atomic<int> laterRequests = 0;
+};
+
+// Guards against UNASKED: the next request follows on the connection before the body of the
+// answered one is complete.
+TEST_CASE_METHOD(client_of_an_early_answering_server,
+                 "answer_before_the_body_is_read_leaves_the_body_whole_and_the_connection_in_use",
+                 "[stream]")
+{
+    serveEarlyAnswers(true);
+    const auto bytes = GENERATE(as<std::size_t>{}, 100'000, 16'000'000);
+    CHECK(callWithBody(bytes).response.status == 503);
+    const auto next = callWithId("next");
+    CHECK(next.failure == http_failure::None);
+    CHECK(next.reused);
+    CHECK(laterRequests == 1);
+    CHECK((body == std::string(bytes, 'b')));
+}
+
+// Guards against REFUSED: an answer counts while a part of its request has not been sent.
+TEST_CASE_METHOD(
+        client_of_an_early_answering_server,
+        "answer_to_a_body_that_is_never_read_ends_unknown_and_its_connection_is_not_reused",
+        "[stream]")
+{
+    serveEarlyAnswers(false);
+    CHECK(callWithBody(16'000'000).failure == http_failure::TimedOut);
+    CHECK_FALSE(callWithId("next").reused);
+}
+
 } // namespace parsleyloft
