Find the status line of an answer behind any other in its line

The copy of an earlier refusal that broke off inside a line with the text "HTTP/1." swallowed the head of the running order's answer: the check for a second status line looked at the first such text of the line only. The order, which had run and failed, got 503; behind a copy of a success it got 200.

--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -298,12 +298,14 @@
 auto containsStatusLine(beast::string_view text) -> bool
 {
     static constexpr beast::string_view start = "HTTP/1.";
-    const auto position = text.find(start);
-    if (position == beast::string_view::npos)
-        return false;
-    const auto version = position + start.size();
-    return version + 2 < text.size() && text[version + 1] == ' ' && text[version + 2] >= '1'
-            && text[version + 2] <= '5';
+    for (auto position = text.find(start); position != beast::string_view::npos;
+         position = text.find(start, position + 1)) {
+        const auto version = position + start.size();
+        if (version + 2 < text.size() && text[version + 1] == ' ' && text[version + 2] >= '1'
+            && text[version + 2] <= '5')
+            return true;
+    }
+    return false;
 }
 
 // True when a response broke off inside its head and another one follows, so that the parser took
