Keep a host running when a field of a request exceeds 64 KB

A caller's request with a trailer field of 66,000 bytes ended the host (SIGABRT, "field value too large"), whatever the configuration: the buffer of a connection held up to 80 KB, and the parser throws for fields over 64 KB, outside any coroutine that could catch it. Headers did the same where the configuration allows more than 64 KB of them. The test fails before, at 66,000 bytes.

--- a/tests/process/route_test.cpp
+++ b/tests/process/route_test.cpp
@@ -2,6 +2,7 @@
 // servers, and failures of servers, the store and hosts.
 #include "codec/json.h"
 #include "generated/site.pb.h"
+#include "support/answer_reader.h"
 #include "support/site_cluster.h"
 
 #include <catch2/catch.hpp>
@@ -95,6 +96,43 @@
     CHECK(hasNotRun("wide"));
 }
 
+// Guards against hosts that end by themselves: the parser throws for a header or trailer field of
+// more than 64 KB. Limits of headers may allow it, and the trailer has no limit of its own.
+TEST_CASE_METHOD(two_hosts, "header_and_trailer_fields_of_any_size_leave_the_host_running")
+{
+    wire::SiteConfiguration configuration;
+    REQUIRE(readJson(findItem(*store, "op/config").value_or(std::string()), configuration));
+    configuration.set_version(2);
+    configuration.mutable_limits()->set_max_header_bytes(std::uint32_t(512) * 1024);
+    putItem(*store, "op/config", toJson(configuration));
+    // A path without a route, which the host answers itself.
+    const std::string head = "POST /none HTTP/1.1\r\nHost: shop.example\r\n"
+                             "X-Request-Id: fields\r\nX-Deadline-Ms: 2000\r\n";
+    const auto statusOfBytes = [&](const std::string &bytes) {
+        const auto until = monotonicNow() + 5s;
+        const auto socket = connectTo(callerAddress(*this, 0), until);
+        REQUIRE(socket);
+        sendBytes(*socket, bytes, until, true);
+        return readFinalAnswer(*socket, until).status;
+    };
+    const auto noteOf = [](int bytes) {
+        return "X-Note: " + std::string(static_cast<std::size_t>(bytes), 'n') + "\r\n";
+    };
+    waitUntil("large headers are allowed", [&] {
+        return statusOfBytes(head + noteOf(60'000) + "Content-Length: 0\r\n\r\n") == 404;
+    });
+    for (const auto bytes : {65'000, 65'500, 66'000, 70'000, 200'000}) {
+        CAPTURE(bytes);
+        const std::string name(static_cast<std::size_t>(bytes), 'n');
+        const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+        CHECK(statusOfBytes(head + noteOf(bytes) + "Content-Length: 0\r\n\r\n") != 0);
+        CHECK(statusOfBytes(head + name + ": note\r\nContent-Length: 0\r\n\r\n") != 0);
+        CHECK(statusOfBytes(chunked + noteOf(bytes) + "\r\n") != 0);
+        CHECK(statusOfBytes(chunked + name + ": note\r\n\r\n") != 0);
+        CHECK(statusOf(0, {}) == 200);
+    }
+}
+
 TEST_CASE_METHOD(two_hosts, "request_with_ambiguous_framing_is_refused")
 {
     const std::string id = "X-Request-Id: smuggled\r\n";
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -34,8 +34,9 @@
 constexpr duration drainingIdleTimeout = 1s;
 constexpr duration idleCheckPeriod = 200ms;
 constexpr duration writeTimeout = 10s;
-// Received bytes of a body that are not parsed yet.
-constexpr std::size_t maxBufferedBodyBytes = std::size_t(64) * 1024;
+// Received bytes that are not parsed yet: all headers, the size line of a chunk, or the trailer.
+// The parser throws for a header or trailer field that is larger.
+constexpr std::size_t maxBufferedBytes = std::size_t(64) * 1024;
 
 // A connection of a caller. Accessed only on its own strand.
 struct open_connection
@@ -347,10 +348,9 @@
         -> asio::awaitable<boost::system::error_code>
 {
     const auto limits = limitsOf(server);
-    // The size line of a chunk and the trailer have no other limit.
-    buffer.max_size(std::max(buffer.size(), limits.maxHeaderBytes + maxBufferedBodyBytes));
     parser.body_limit(limits.maxBodyBytes);
-    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.header_limit(
+            static_cast<std::uint32_t>(std::min(limits.maxHeaderBytes, maxBufferedBytes)));
     boost::system::error_code error;
     stream.expires_after(limits.headerTimeout);
     co_await http::async_read_header(stream, buffer, parser,
@@ -418,7 +418,7 @@
 
 auto serveConnection(shared_server server, shared_connection connection) -> asio::awaitable<void>
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxBufferedBytes};
     if (server->options.connectionCost > duration::zero()) {
         asio::steady_timer timer(connection->stream.get_executor(), server->options.connectionCost);
         co_await timer.async_wait(asio::use_awaitable);
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -20,6 +20,7 @@
 // Limits on the size and duration of requests. May be changed while the server runs.
 struct http_limits
 {
+    // At most 64 KB. A larger limit counts as that.
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 64 * 1024;
     // From the first byte of a request to the end of its headers.
