Receive the rest of a refused request before closing its connection

A connection closed with unread bytes is reset, and the reset can reach a caller that is still sending before the response does: it sees a failed send instead of 413 or 431. The host now closes its sending side and receives for up to 2 s.

--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -1,4 +1,5 @@
 // The HTTP client and server against each other: a request gets a complete response or a failure.
+#include "support/answer_reader.h"
 #include "transport/blocking_call.h"
 #include "transport/http_server.h"
 
@@ -228,6 +229,26 @@
     CHECK(headerValue(outcome.response.headers, "Parsleyloft-Outcome") == "not_run");
 }
 
+// A connection that is closed with unread bytes is reset, and the reset may reach the caller before
+// the response.
+TEST_CASE_METHOD(server_and_client, "rest_of_a_refused_body_is_received_after_the_response",
+                 "[http]")
+{
+    const auto socket = connectTo(address, monotonicNow() + 2s);
+    REQUIRE(socket);
+    // More than the kernel buffers.
+    const std::string body(std::size_t(32) * 1024 * 1024, 'x');
+    const auto bytes = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto until = monotonicNow() + 10s;
+    CHECK(sendBytes(*socket, bytes, until, false) == send_end::Sent);
+    const auto answer = readFinalAnswer(*socket, until);
+    CHECK(answer.end == answer_end::Whole);
+    CHECK(answer.status == 413);
+    CHECK_FALSE(answer.keepsConnection);
+    CHECK(receiveMore(*socket, until) == receive_end::Closed);
+}
+
 TEST_CASE_METHOD(server_and_client, "port_in_use_is_reported_with_the_port_number", "[http]")
 {
     const auto second = startHttpServer(*pool, address, {}, handler);
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <set>
@@ -34,6 +35,8 @@
 constexpr duration drainingIdleTimeout = 1s;
 constexpr duration idleCheckPeriod = 200ms;
 constexpr duration writeTimeout = 10s;
+constexpr duration discardTime = 2s;
+constexpr std::size_t discardPartBytes = std::size_t(16) * 1024;
 // Received bytes that are not parsed yet: all headers, the size line of a chunk, or the trailer.
 // The parser throws for a header or trailer field that is larger.
 constexpr std::size_t maxBufferedBytes = std::size_t(64) * 1024;
@@ -49,6 +52,8 @@
     // True while no byte of the next request has been received.
     bool idle = false;
     instant idleSince{};
+    // True once a request was refused of which more bytes may come. No other request follows.
+    bool restRefused = false;
 };
 
 using shared_connection = std::shared_ptr<open_connection>;
@@ -214,10 +219,14 @@
     });
 }
 
+auto isTooLarge(boost::system::error_code error) -> bool
+{
+    return error == http::error::body_limit || error == http::error::header_limit;
+}
+
 // The response to a request that could not be read.
 auto errorResponse(boost::system::error_code error) -> http_response
 {
-    const auto tooLarge = error == http::error::body_limit || error == http::error::header_limit;
     http_response response;
     response.status = 400;
     if (error == http::error::body_limit)
@@ -226,7 +235,7 @@
         response.status = 431;
     response.headers["Content-Type"] = "text/plain";
     response.headers["Parsleyloft-Outcome"] = "not_run";
-    response.headers["Parsleyloft-Reason"] = tooLarge ? "too_large" : "bad_request";
+    response.headers["Parsleyloft-Reason"] = isTooLarge(error) ? "too_large" : "bad_request";
     response.body = error.message() + "\n";
     return response;
 }
@@ -372,6 +381,19 @@
     co_return error;
 }
 
+// Receives the rest of a refused request for some time after the response. A connection that is
+// closed with unread bytes is reset, and the caller may get the reset instead of the response.
+auto discardRest(beast::tcp_stream &stream) -> asio::awaitable<void>
+{
+    boost::system::error_code error;
+    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    std::array<char, discardPartBytes> bytes{};
+    stream.expires_after(discardTime);
+    while (!error)
+        co_await stream.async_read_some(asio::buffer(bytes),
+                                        asio::redirect_error(asio::use_awaitable, error));
+}
+
 // Serves one request. Returns false if the connection must be closed afterwards.
 auto serveRequest(const shared_server &server, const shared_connection &connection,
                   beast::flat_buffer &buffer) -> asio::awaitable<bool>
@@ -381,6 +403,7 @@
     auto error = co_await readRequest(server, stream, buffer, parser);
     if (!error && isAmbiguous(parser.get()))
         error = make_error_code(http::error::bad_transfer_encoding);
+    connection->restRefused = isTooLarge(error);
     if (error) {
         if (!isConnectionLost(error))
             co_await writeResponse(stream, errorResponse(error), false);
@@ -427,6 +450,8 @@
         if (!co_await serveRequest(server, connection, buffer))
             break;
     }
+    if (connection->restRefused)
+        co_await discardRest(connection->stream);
     boost::system::error_code ignored;
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     const std::lock_guard guard(server->lock);
