Answer 503 to large requests until a configuration is known

A host that had not received a configuration applied built-in limits, and answered bodies over 64 KB with 413 and headers over 16 KB with 431. Callers never send such a request again.

The limits before the first configuration are marked as preliminary. What exceeds them reaches the request flow as incomplete, which refuses it with 503, its id and Retry-After, also if the configuration has come meanwhile. The connection is closed after it, so that the rest of the body is not taken for a request. Reading such bodies up to a bound on memory would refuse the larger ones all the same, and hold memory of a host that cannot serve them.

--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -533,17 +533,20 @@
 // Sets the flow's route, service and deadlines. Returns false when it has answered the request.
 auto prepareRequest(const shared_flow &flow) -> bool
 {
+    const auto incomplete = flow->request.incomplete;
     auto decoded = decodeCallerRequest(flow->request);
-    if (!decoded) {
+    if (!decoded && !incomplete) {
         auto response = encodeOwnResponse(400, {}, std::nullopt);
         response.closeConnection = true;
         answerCaller(flow, std::move(response), request_result::BadRequest);
         return false;
     }
-    flow->callerRequest = std::move(*decoded);
+    flow->callerRequest = std::move(decoded).value_or(caller_request());
     flow->routes = currentRoutes(flow->router);
     flow->deadline = flow->arrived + flow->callerRequest.wait.value_or(1min);
-    if (!flow->routes) {
+    // An incomplete request exceeds the limits of before the configuration, which may have come
+    // meanwhile.
+    if (!flow->routes || incomplete) {
         flow->expectedWait = noConfigurationRetry;
         answerRefusal(flow, request_result::NoConfiguration);
         return false;
--- a/router/serve.cpp
+++ b/router/serve.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t storeMemoryDivisor = 16;
 // The largest answer of the store: a page of about 1 MB, encoded as base64, or one value.
 constexpr std::size_t maxStoreAnswerBytes = std::size_t(8) * 1024 * 1024;
+// The largest headers that are ever received, so that a refusal can name its request.
+constexpr http_limits limitsBeforeConfiguration{.maxHeaderBytes = std::size_t(64) * 1024,
+                                                .preliminary = true};
 // Sent bytes stay unacknowledged for this long only if the server's machine or the network to it
 // has failed.
 constexpr duration unacknowledgedLimit = 400ms;
@@ -133,10 +136,13 @@
 
 auto listen(router_process &router, const wire::HostSettings &settings) -> result<void>
 {
-    auto callers = startHttpServer(*router.workers, *parseEndpoint(settings.caller_address()), {},
-                                   [&router](http_request request, http_responder respond) {
-                                       serveRequest(router, std::move(request), std::move(respond));
-                                   });
+    http_server_options callerOptions;
+    callerOptions.limits = limitsBeforeConfiguration;
+    auto callers =
+            startHttpServer(*router.workers, *parseEndpoint(settings.caller_address()),
+                            callerOptions, [&router](http_request request, http_responder respond) {
+                                serveRequest(router, std::move(request), std::move(respond));
+                            });
     if (!callers)
         return tl::unexpected(callers.error());
     router.callerServer = std::move(*callers);
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -249,6 +249,34 @@
     CHECK(receiveMore(*socket, until) == receive_end::Closed);
 }
 
+// What exceeds limits that hold only until others are set may be proper.
+TEST_CASE_METHOD(server_and_client, "request_over_preliminary_limits_is_passed_on_as_incomplete",
+                 "[http]")
+{
+    http_limits limits;
+    limits.maxBodyBytes = 1024;
+    limits.preliminary = true;
+    setHttpLimits(*server, limits);
+    std::atomic<bool> incomplete = false;
+    handler = [&](const http_request &request, const http_responder &respond) {
+        incomplete = request.incomplete;
+        http_response response;
+        response.status = 503;
+        respond(std::move(response));
+    };
+    http_request request;
+    request.body.assign(5000, 'x');
+    CHECK(call(request).response.status == 503);
+    CHECK(incomplete);
+    request.body.assign(1000, 'x');
+    CHECK(call(request).response.status == 503);
+    CHECK_FALSE(incomplete);
+    limits.preliminary = false;
+    setHttpLimits(*server, limits);
+    request.body.assign(5000, 'x');
+    CHECK(call(request).response.status == 413);
+}
+
 TEST_CASE_METHOD(server_and_client, "port_in_use_is_reported_with_the_port_number", "[http]")
 {
     const auto second = startHttpServer(*pool, address, {}, handler);
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -60,6 +60,8 @@
     std::string body;
     // Set by the server for received requests. Empty for requests to be sent.
     shared_caller_connection caller;
+    // The body, or a part of the headers, was not received. Such a request must be refused.
+    bool incomplete = false;
 };
 
 // A part of a body that is passed on while the rest is still being received.
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -69,6 +69,7 @@
         , handler(std::move(onRequest))
     {
         limits.maxBodyBytes = serverOptions.maxBodyBytes;
+        limits = serverOptions.limits.value_or(limits);
     }
 
     tcp::acceptor acceptor;
@@ -352,11 +353,10 @@
 }
 
 // Reads one complete request. Returns the error if it fails.
-auto readRequest(const shared_server &server, beast::tcp_stream &stream, beast::flat_buffer &buffer,
+auto readRequest(const http_limits &limits, beast::tcp_stream &stream, beast::flat_buffer &buffer,
                  http::request_parser<http::string_body> &parser)
         -> asio::awaitable<boost::system::error_code>
 {
-    const auto limits = limitsOf(server);
     parser.body_limit(limits.maxBodyBytes);
     parser.header_limit(
             static_cast<std::uint32_t>(std::min(limits.maxHeaderBytes, maxBufferedBytes)));
@@ -381,6 +381,15 @@
     co_return error;
 }
 
+// True if the request was not received as a whole, but may be proper under limits set later.
+auto isIncomplete(boost::system::error_code error, const http_limits &limits,
+                  const http::request<http::string_body> &message) -> bool
+{
+    // The framing is not known before the end of the headers.
+    const auto ambiguous = error != http::error::header_limit && isAmbiguous(message);
+    return limits.preliminary && isTooLarge(error) && !ambiguous;
+}
+
 // Receives the rest of a refused request for some time after the response. A connection that is
 // closed with unread bytes is reset, and the caller may get the reset instead of the response.
 auto discardRest(beast::tcp_stream &stream) -> asio::awaitable<void>
@@ -400,11 +409,13 @@
 {
     auto &stream = connection->stream;
     http::request_parser<http::string_body> parser;
-    auto error = co_await readRequest(server, stream, buffer, parser);
+    const auto limits = limitsOf(server);
+    auto error = co_await readRequest(limits, stream, buffer, parser);
     if (!error && isAmbiguous(parser.get()))
         error = make_error_code(http::error::bad_transfer_encoding);
+    const auto incomplete = isIncomplete(error, limits, parser.get());
     connection->restRefused = isTooLarge(error);
-    if (error) {
+    if (error && !incomplete) {
         if (!isConnectionLost(error))
             co_await writeResponse(stream, errorResponse(error), false);
         co_return false;
@@ -415,6 +426,7 @@
     const auto requestVersion = message.version();
     stream.expires_never();
     auto request = toRequest(std::move(message));
+    request.incomplete = incomplete;
     request.caller = std::make_shared<caller_connection>();
     const auto caller = request.caller;
     watchCaller(connection, caller);
@@ -432,7 +444,8 @@
         co_await writeTruncatedResponse(stream, response);
         co_return false;
     }
-    const auto keepAlive = keepAliveRequested && !server->draining && !response.closeConnection;
+    const auto keepAlive =
+            keepAliveRequested && !incomplete && !server->draining && !response.closeConnection;
     if (response.rest)
         co_return co_await writeStreamedResponse(stream, std::move(response), keepAlive,
                                                  requestVersion);
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -27,6 +27,9 @@
     duration headerTimeout = 60s;
     // Between two requests on a connection, and for receiving a body.
     duration idleTimeout = 60s;
+    // The limits hold only until others are set. A request that exceeds them may be proper: it is
+    // passed to the handler as incomplete instead of being refused as too large.
+    bool preliminary = false;
 };
 
 struct http_server_options
@@ -34,6 +37,8 @@
     std::size_t maxBodyBytes = 64 * 1024;
     // For test stand-ins only: delay before the first request of a new connection is read.
     duration connectionCost = 0us;
+    // In force until others are set, if given. They replace maxBodyBytes.
+    std::optional<http_limits> limits = std::nullopt;
 };
 
 // Listens on the address and serves requests. Fails with InvalidInput for a malformed address and
