--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <set>
@@ -34,8 +35,11 @@
 constexpr duration drainingIdleTimeout = 1s;
 constexpr duration idleCheckPeriod = 200ms;
 constexpr duration writeTimeout = 10s;
-// Received bytes of a body that are not parsed yet.
-constexpr std::size_t maxBufferedBodyBytes = std::size_t(64) * 1024;
+constexpr duration discardTime = 2s;
+constexpr std::size_t discardPartBytes = std::size_t(16) * 1024;
+// Received bytes that are not parsed yet: all headers, the size line of a chunk, or the trailer.
+// The parser throws for a header or trailer field that is larger.
+constexpr std::size_t maxBufferedBytes = std::size_t(64) * 1024;
 
 // A connection of a caller. Accessed only on its own strand.
 struct open_connection
@@ -48,6 +52,8 @@
     // True while no byte of the next request has been received.
     bool idle = false;
     instant idleSince{};
+    // True once a request was refused of which more bytes may come. No other request follows.
+    bool restRefused = false;
 };
 
 using shared_connection = std::shared_ptr<open_connection>;
@@ -63,6 +69,7 @@
         , handler(std::move(onRequest))
     {
         limits.maxBodyBytes = serverOptions.maxBodyBytes;
+        limits = serverOptions.limits.value_or(limits);
     }
 
     tcp::acceptor acceptor;
@@ -213,10 +220,14 @@
     });
 }
 
+auto isTooLarge(boost::system::error_code error) -> bool
+{
+    return error == http::error::body_limit || error == http::error::header_limit;
+}
+
 // The response to a request that could not be read.
 auto errorResponse(boost::system::error_code error) -> http_response
 {
-    const auto tooLarge = error == http::error::body_limit || error == http::error::header_limit;
     http_response response;
     response.status = 400;
     if (error == http::error::body_limit)
@@ -225,7 +236,7 @@
         response.status = 431;
     response.headers["Content-Type"] = "text/plain";
     response.headers["Parsleyloft-Outcome"] = "not_run";
-    response.headers["Parsleyloft-Reason"] = tooLarge ? "too_large" : "bad_request";
+    response.headers["Parsleyloft-Reason"] = isTooLarge(error) ? "too_large" : "bad_request";
     response.body = error.message() + "\n";
     return response;
 }
@@ -342,15 +353,13 @@
 }
 
 // Reads one complete request. Returns the error if it fails.
-auto readRequest(const shared_server &server, beast::tcp_stream &stream, beast::flat_buffer &buffer,
+auto readRequest(const http_limits &limits, beast::tcp_stream &stream, beast::flat_buffer &buffer,
                  http::request_parser<http::string_body> &parser)
         -> asio::awaitable<boost::system::error_code>
 {
-    const auto limits = limitsOf(server);
-    // The size line of a chunk and the trailer have no other limit.
-    buffer.max_size(std::max(buffer.size(), limits.maxHeaderBytes + maxBufferedBodyBytes));
     parser.body_limit(limits.maxBodyBytes);
-    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.header_limit(
+            static_cast<std::uint32_t>(std::min(limits.maxHeaderBytes, maxBufferedBytes)));
     boost::system::error_code error;
     stream.expires_after(limits.headerTimeout);
     co_await http::async_read_header(stream, buffer, parser,
@@ -372,16 +381,41 @@
     co_return error;
 }
 
+// True if the request was not received as a whole, but may be proper under limits set later.
+auto isIncomplete(boost::system::error_code error, const http_limits &limits,
+                  const http::request<http::string_body> &message) -> bool
+{
+    // The framing is not known before the end of the headers.
+    const auto ambiguous = error != http::error::header_limit && isAmbiguous(message);
+    return limits.preliminary && isTooLarge(error) && !ambiguous;
+}
+
+// Receives the rest of a refused request for some time after the response. A connection that is
+// closed with unread bytes is reset, and the caller may get the reset instead of the response.
+auto discardRest(beast::tcp_stream &stream) -> asio::awaitable<void>
+{
+    boost::system::error_code error;
+    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    std::array<char, discardPartBytes> bytes{};
+    stream.expires_after(discardTime);
+    while (!error)
+        co_await stream.async_read_some(asio::buffer(bytes),
+                                        asio::redirect_error(asio::use_awaitable, error));
+}
+
 // Serves one request. Returns false if the connection must be closed afterwards.
 auto serveRequest(const shared_server &server, const shared_connection &connection,
                   beast::flat_buffer &buffer) -> asio::awaitable<bool>
 {
     auto &stream = connection->stream;
     http::request_parser<http::string_body> parser;
-    auto error = co_await readRequest(server, stream, buffer, parser);
+    const auto limits = limitsOf(server);
+    auto error = co_await readRequest(limits, stream, buffer, parser);
     if (!error && isAmbiguous(parser.get()))
         error = make_error_code(http::error::bad_transfer_encoding);
-    if (error) {
+    const auto incomplete = isIncomplete(error, limits, parser.get());
+    connection->restRefused = isTooLarge(error);
+    if (error && !incomplete) {
         if (!isConnectionLost(error))
             co_await writeResponse(stream, errorResponse(error), false);
         co_return false;
@@ -392,6 +426,7 @@
     const auto requestVersion = message.version();
     stream.expires_never();
     auto request = toRequest(std::move(message));
+    request.incomplete = incomplete;
     request.caller = std::make_shared<caller_connection>();
     const auto caller = request.caller;
     watchCaller(connection, caller);
@@ -409,7 +444,8 @@
         co_await writeTruncatedResponse(stream, response);
         co_return false;
     }
-    const auto keepAlive = keepAliveRequested && !server->draining && !response.closeConnection;
+    const auto keepAlive =
+            keepAliveRequested && !incomplete && !server->draining && !response.closeConnection;
     if (response.rest)
         co_return co_await writeStreamedResponse(stream, std::move(response), keepAlive,
                                                  requestVersion);
@@ -418,7 +454,7 @@
 
 auto serveConnection(shared_server server, shared_connection connection) -> asio::awaitable<void>
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxBufferedBytes};
     if (server->options.connectionCost > duration::zero()) {
         asio::steady_timer timer(connection->stream.get_executor(), server->options.connectionCost);
         co_await timer.async_wait(asio::use_awaitable);
@@ -427,6 +463,8 @@
         if (!co_await serveRequest(server, connection, buffer))
             break;
     }
+    if (connection->restRefused)
+        co_await discardRest(connection->stream);
     boost::system::error_code ignored;
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     const std::lock_guard guard(server->lock);
