Let servers of the soak reset connections while a body is being written

Servers run some requests before they have read the body and reset the connection then, and connections have the segments of a network.

--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -10,7 +10,9 @@
 #include <boost/asio/write.hpp>
 
 #include <deque>
+#include <netinet/tcp.h>
 #include <set>
+#include <sys/socket.h>
 
 namespace parsleyloft {
 
@@ -347,6 +349,10 @@
     auto &acceptor = impl->acceptor;
     acceptor.open(local.protocol(), error);
     acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    // Callers' sockets hold no more than they would on a network, as for the servers.
+    const int usualSegmentBytes = 1448;
+    ::setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &usualSegmentBytes,
+                 sizeof(usualSegmentBytes));
     acceptor.bind(local, error);
     if (!error)
         acceptor.listen(tcp::acceptor::max_listen_connections, error);
--- a/tests/soak/server_behaviours.cpp
+++ b/tests/soak/server_behaviours.cpp
@@ -317,6 +317,16 @@
     readBody(exchange);
 }
 
+auto runBeforeBodyAndReset(request_exchange &exchange) -> void
+{
+    if (!beginWork(exchange)) {
+        refuseAsOther(exchange);
+        return;
+    }
+    endWork(exchange);
+    resetConnection(exchange.connection);
+}
+
 auto runAndClose(request_exchange &exchange) -> void
 {
     if (work(exchange))
@@ -553,6 +563,8 @@
         {server_behaviour::RefusesBeforeBodyAndCloses, scene_trouble::Bodies, 2,
          refuseBeforeBodyAndClose},
         {server_behaviour::RunsBeforeBody, scene_trouble::Bodies, 8, runBeforeBody},
+        {server_behaviour::RunsBeforeBodyAndResets, scene_trouble::Bodies, 3,
+         runBeforeBodyAndReset},
         {server_behaviour::RunsAndCloses, scene_trouble::Answers, 1, runAndClose},
         {server_behaviour::RunsAndResets, scene_trouble::Answers, 1, runAndReset},
         {server_behaviour::ClosesAndRuns, scene_trouble::Answers, 1, closeAndRun},
--- a/tests/soak/server_behaviours.h
+++ b/tests/soak/server_behaviours.h
@@ -31,6 +31,8 @@
     RefusesBeforeBodyAndCloses,
     // Answers before it has read the body, and reads on.
     RunsBeforeBody,
+    // Runs, and resets the connection before it has read the body.
+    RunsBeforeBodyAndResets,
     // Runs, then closes or resets the connection instead of answering.
     RunsAndCloses,
     RunsAndResets,
@@ -68,7 +70,7 @@
     RunsAndMisstates,
 };
 
-inline constexpr name_table<server_behaviour, 30> serverBehaviourNames{{
+inline constexpr name_table<server_behaviour, 31> serverBehaviourNames{{
         {server_behaviour::Runs, "runs"},
         {server_behaviour::Refuses, "refuses"},
         {server_behaviour::RefusesTwice, "refuses_twice"},
@@ -77,6 +79,7 @@
         {server_behaviour::RefusesBeforeBody, "refuses_before_body"},
         {server_behaviour::RefusesBeforeBodyAndCloses, "refuses_before_body_and_closes"},
         {server_behaviour::RunsBeforeBody, "runs_before_body"},
+        {server_behaviour::RunsBeforeBodyAndResets, "runs_before_body_and_resets"},
         {server_behaviour::RunsAndCloses, "runs_and_closes"},
         {server_behaviour::RunsAndResets, "runs_and_resets"},
         {server_behaviour::ClosesAndRuns, "closes_and_runs"},
--- a/tests/soak/server_process.cpp
+++ b/tests/soak/server_process.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <iostream>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <thread>
@@ -107,6 +108,10 @@
     const auto listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    // With the large segments of loopback, a caller's socket would take a whole body at once, and
+    // no write of a request would ever fail midway.
+    const int usualSegmentBytes = 1448;
+    ::setsockopt(listener, IPPROTO_TCP, TCP_MAXSEG, &usualSegmentBytes, sizeof(usualSegmentBytes));
     sockaddr_in local{};
     local.sin_family = AF_INET;
     local.sin_port = htons(address.port);
