Send each order of the restarted-server test to the earlier id first

request_sent_again_to_the_address_... needs orders that go to the earlier entry of the address before the present one. Both were in one failure domain, where the queue host takes the server with the lower expected latency: once the present one had been faster than the mean, no order went to the earlier one, and the check that some were sent again failed.

The present entry is in another failure domain now, the earlier one in the host's own, which hosts try first. The check is stricter: all 20 orders must be sent again.

--- a/tests/process/not_run_test.cpp
+++ b/tests/process/not_run_test.cpp
@@ -28,6 +28,9 @@
 {
     hosts_before_a_server_started_again()
     {
+        // Hosts send to servers of their own failure domain first, so that orders go to the earlier
+        // server before the present one.
+        announce("raw", "c", 2);
         answerBy([this](raw_connection &connection) { return refuseOrRun(connection); });
     }
 
@@ -99,7 +102,7 @@
     std::size_t sentAgain = 0;
     for (int index = 0; index < 20; ++index) {
         const auto earlier = "earlier-" + std::to_string(index);
-        announce(earlier);
+        announce(earlier, index % 2 == 0 ? "a" : "b");
         std::this_thread::sleep_for(150ms);
         const auto call = order("order-" + std::to_string(index));
         const auto outcome = callHost(*this, index % 2, call);
@@ -112,7 +115,7 @@
         sentAgain += refused.contains(call.id) ? 1 : 0;
         CHECK_FALSE(isPromise(outcome));
     }
-    CHECK(sentAgain > 0);
+    CHECK(sentAgain == 20);
 }
 
 // Guards against REFUSED: an order runs, and its answer is no statement of its server that it has
--- a/tests/support/raw_site.cpp
+++ b/tests/support/raw_site.cpp
@@ -29,12 +29,14 @@
                   [&] { return callHost(*this, host, {}).response.body.starts_with("answer to"); });
 }
 
-auto hosts_before_a_raw_server::announce(const std::string &id) -> void
+auto hosts_before_a_raw_server::announce(const std::string &id, const std::string &domain,
+                                         int sequence) -> void
 {
     putItem(*store, "servers/" + id,
             R"({"service":"shop","address":"127.0.0.1:)" + std::to_string(raw.address.port)
-                    + R"(","zone":"a","slots":64,"state":"ready","warmup_left_ms":0,)"
-                      R"("version":"v1","seq":1,"born":5})");
+                    + R"(","zone":")" + domain
+                    + R"(","slots":64,"state":"ready","warmup_left_ms":0,"version":"v1","seq":)"
+                    + std::to_string(sequence) + R"(,"born":5})");
 }
 
 auto hosts_before_a_raw_server::answerBy(raw_handler next) -> void
--- a/tests/support/raw_site.h
+++ b/tests/support/raw_site.h
@@ -22,8 +22,8 @@
     // Waits until both hosts use the server.
     hosts_before_a_raw_server();
 
-    // Writes an entry of the server under the id.
-    auto announce(const std::string &id) -> void;
+    // Writes an entry of the server under the id, in the failure domain.
+    auto announce(const std::string &id, const std::string &domain = "a", int sequence = 1) -> void;
 
     // Answers requests by this handler from now on.
     auto answerBy(raw_handler next) -> void;
