Play half statements of 'not run' in all scenes

The hosts take X-Not-Executed and a status of refusal together for the statement since, so servers that run a request and answer with one of them alone are a trouble like the others, and part of 'all'.

--- a/tests/soak/scene.cpp
+++ b/tests/soak/scene.cpp
@@ -21,7 +21,7 @@
         if (trouble)
             read.insert(*trouble);
         for (const auto &entry : sceneTroubleNames) {
-            if (!trouble && entry.value != scene_trouble::Statements)
+            if (!trouble)
                 read.insert(entry.value);
         }
     }
--- a/tests/soak/scene.h
+++ b/tests/soak/scene.h
@@ -31,8 +31,8 @@
     Links,
     // Servers of the keyed service come and go, so that keys move.
     Moves,
-    // Servers run requests, and state in answers without the stamp of work that they have not.
-    // Played only if named: the platform's pages do not say how such answers are to be read.
+    // Servers run requests, and answer without the stamp of work and with half of a statement that
+    // they have not: X-Not-Executed beside a status of work, or the status 421 alone.
     Statements,
 };
 
@@ -71,7 +71,7 @@
     return options.troubles.contains(trouble);
 }
 
-// Reads names separated by commas. "all" stands for every trouble but Statements.
+// Reads names separated by commas; "all" stands for every trouble.
 auto readTroubles(const std::string &text) -> std::optional<std::set<scene_trouble>>;
 
 auto toText(const std::set<scene_trouble> &troubles) -> std::string;
--- a/tests/soak/server_behaviours.h
+++ b/tests/soak/server_behaviours.h
@@ -65,8 +65,8 @@
     RunsAndAnswersBareRefusal,
     // Runs, and answers with the statement that it has not and the stamp of work.
     RunsAndContradictsItself,
-    // Runs, and answers with the statement without the stamp: a status that counts as run with
-    // X-Not-Executed, or a 421 without it.
+    // Runs, and answers with half of the statement and without the stamp: X-Not-Executed beside a
+    // status of work, or the status 421 alone.
     RunsAndMisstates,
 };
 
