--- a/tests/soak/server_process.cpp
+++ b/tests/soak/server_process.cpp
@@ -25,6 +25,24 @@
 // The idle timeout that the answers announce.
 constexpr duration idleLimit = 10s;
 
+// What a server does with a connection beside its requests.
+enum class connection_behaviour : std::uint8_t {
+    Serves,
+    // Resets it at once, as beyond the number of connections that it takes.
+    ResetsAtOnce,
+    // Resets it after a while, in which a request may arrive.
+    ResetsSoon,
+    // Neither answers nor runs anything that arrives on it.
+    NeverAnswers,
+};
+
+inline constexpr name_table<connection_behaviour, 4> connectionBehaviourNames{{
+        {connection_behaviour::Serves, "serves"},
+        {connection_behaviour::ResetsAtOnce, "resets_at_once"},
+        {connection_behaviour::ResetsSoon, "resets_soon"},
+        {connection_behaviour::NeverAnswers, "never_answers"},
+}};
+
 auto answerOrder(server_connection &connection, unsigned status, const std::string &otherLines)
         -> void
 {
@@ -85,20 +103,51 @@
     answerOrder(connection, status, idLine + std::string(handoverName) + ": of-" + id + "\r\n");
 }
 
-auto serveConnection(serving_process &process, int socket) -> void
+auto serveRequests(serving_process &process, server_connection &connection) -> void
 {
-    server_connection connection;
-    connection.socket = socket;
     while (connection.socket >= 0 && awaitBytes(connection, idleLimit)) {
         auto request = readRequestHead(connection);
         if (!request)
-            break;
+            return;
         const auto path = targetPath(request->target);
         if (path == "/grant" || path == "/release")
             serveOrder(process, connection, std::move(*request));
         else
             serveRequest(process, connection, std::move(*request));
     }
+}
+
+// The number counts the connections of the process.
+auto serveConnection(serving_process &process, int socket, int number) -> void
+{
+    server_connection connection;
+    connection.socket = socket;
+    const auto &options = process.options;
+    auto random = makeRandom(options.seed, options.id + " connection " + std::to_string(number));
+    auto drawn = connection_behaviour::Serves;
+    if (options.troubles.contains(scene_trouble::Answers)) {
+        constexpr int servesWeight = 40;
+        drawn = static_cast<connection_behaviour>(drawIndex(random, {servesWeight, 1, 1, 1}));
+    }
+    if (drawn != connection_behaviour::Serves)
+        std::cout << "connection socket=" + std::to_string(socket) + " behaviour="
+                        + std::string(nameIn(connectionBehaviourNames, drawn)) + "\n"
+                  << std::flush;
+    switch (drawn) {
+    case connection_behaviour::Serves:
+        serveRequests(process, connection);
+        break;
+    case connection_behaviour::ResetsSoon:
+        std::this_thread::sleep_for(std::chrono::milliseconds(drawBetween(random, 0, 100)));
+        resetConnection(connection);
+        break;
+    case connection_behaviour::ResetsAtOnce:
+        resetConnection(connection);
+        break;
+    case connection_behaviour::NeverAnswers:
+        while (readRequestHead(connection)) { }
+        break;
+    }
     closeConnection(connection);
 }
 
@@ -137,10 +186,10 @@
         return exit_code::Failed;
     }
     process.events = *events;
-    while (true) {
+    for (int number = 0;; ++number) {
         const auto socket = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (socket >= 0)
-            std::thread(serveConnection, std::ref(process), socket).detach();
+            std::thread(serveConnection, std::ref(process), socket, number).detach();
         else if (errno != EINTR && errno != ECONNABORTED)
             return exit_code::Failed;
     }
