--- a/lab/keyed_server_stand_in.cpp
+++ b/lab/keyed_server_stand_in.cpp
@@ -64,6 +64,15 @@
     return response;
 }
 
+// The response to a request for another server.
+auto misdirected(const keyed_server_stand_in::internals &server, const http_request &request)
+        -> http_response
+{
+    auto response = notExecuted(421, request);
+    response.headers[answeringServerName] = server.options.id;
+    return response;
+}
+
 // A rejection of a request because of a fault, if there is one.
 auto faultRejection(const keyed_server_faults &faults, const http_request &request)
         -> std::optional<http_response>
@@ -189,9 +198,7 @@
         ++server->arrivals;
         const auto expected = headerValue(request.headers, expectedServerName);
         if (!expected.empty() && expected != server->options.id) {
-            auto response = notExecuted(421, request);
-            response.headers[answeringServerName] = server->options.id;
-            respond(std::move(response));
+            respond(misdirected(*server, request));
             return;
         }
         if (!holdsKeyOf(*server, request)) {
@@ -223,7 +230,7 @@
         const std::lock_guard guard(server->lock);
         const auto expected = headerValue(request.headers, expectedServerName);
         if (!expected.empty() && expected != server->options.id)
-            response = makeResponse(421, request);
+            response = misdirected(*server, request);
         else
             response = path == "/grant" ? grant(*server, request) : release(*server, request);
     }
--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -237,6 +237,22 @@
     CHECK(handover == (answersRelease ? "token" : ""));
 }
 
+// Guards against a second holder: the status 421 alone counts as the word of another server at the
+// holder's address, also where the holder itself has answered.
+TEST_CASE_METHOD(store_and_client, "release_refused_by_the_holder_itself_does_not_end_its_hold",
+                 "[key_orders]")
+{
+    raw_server raw([&](raw_connection &connection) {
+        return sendAll(connection,
+                       "HTTP/1.1 421 Other\r\nX-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n");
+    });
+    std::promise<order_result> promise;
+    const key_order order{order_kind::Release, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
+    sendKeyOrder(client.http, order, 500ms, always,
+                 [&](order_result result, const std::string &) { promise.set_value(result); });
+    CHECK(promise.get_future().get() != order_result::OtherServer);
+}
+
 // Guards against an order that is written after the leadership has ended during the connect.
 TEST_CASE_METHOD(store_and_client, "order_is_checked_after_the_connect_and_then_not_written",
                  "[key_orders]")
