--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -52,6 +52,15 @@
     });
 }
 
+auto readDeployment() -> wire::Deployment
+{
+    wire::Deployment description;
+    const auto text = readFile(PARSLEYLOFT_SOURCE_DIR "/tests/support/small.json");
+    REQUIRE(text);
+    REQUIRE(readJson(*text, description));
+    return description;
+}
+
 auto loadReportPath(const cluster &cluster, const std::string &prefix) -> std::string
 {
     return cluster.directory + "/" + prefix + ".report";
@@ -86,10 +95,13 @@
 } // namespace
 
 cluster::cluster()
+    : cluster(readDeployment(), {})
+{ }
+
+cluster::cluster(const wire::Deployment &description,
+                 const std::vector<wire::ListedService> &others)
+    : deployment(description)
 {
-    const auto text = readFile(PARSLEYLOFT_SOURCE_DIR "/tests/support/small.json");
-    REQUIRE(text);
-    REQUIRE(readJson(*text, deployment));
     auto name = (std::filesystem::temp_directory_path() / "parsleyloft-XXXXXX").string();
     REQUIRE(mkdtemp(name.data()) != nullptr);
     directory = name;
@@ -101,6 +113,8 @@
         spawn(*this, backend.id, PARSLEYLOFT_LAB, backend.arguments);
     for (const auto &backend : plan.backends)
         registerService(*this, backend.listed);
+    for (const auto &other : others)
+        registerService(*this, other);
     for (const auto &host : plan.listedHosts)
         registerService(*this, host);
     for (const auto &host : plan.hosts)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -12,14 +12,17 @@
 
 #include <functional>
 #include <sys/types.h>
+#include <vector>
 
 namespace parsleyloft {
 
 struct cluster
 {
-    // Starts the platform, all backend servers and hosts, sets the classes, and waits until
-    // every shard is owned.
+    // Starts the deployment of small.json.
     cluster();
+    // Starts the platform, all backend servers and hosts, registers the other servers, sets the
+    // classes, and waits until every shard is owned.
+    cluster(const wire::Deployment &description, const std::vector<wire::ListedService> &others);
     // Ends every process that is still running and removes the journals.
     ~cluster();
 
