Keep the outcome of a request from its end, and running requests always

A host of serve keeps the ids of requests that may run once, so that a marked repeat gets the first outcome. It dropped each id 60 s after the request had begun: also while it was still running (a class may wait for 10 minutes), and, when the id had been refused once before, 60 s after that refusal. A repeat after that ran a second time.

Cause: the list by age had one entry for each beginning, none was removed with a refusal, and the age of a beginning says nothing about the end.

The list now has the ended requests only, each once, with the time of their end; an entry goes with its listing, and a running one stays. An outcome once recorded is not replaced or removed by another request of the same id that was refused.

--- a/daemon/attempt.cpp
+++ b/daemon/attempt.cpp
@@ -86,7 +86,8 @@
 // Records the end of an attempt. Returns the outcome of the request when this attempt decides
 // it: the first answered attempt does, otherwise the last one to end.
 auto recordConclusion(group_table &table, pending_request &request,
-                      const attempt_conclusion &conclusion) -> std::optional<request_outcome>
+                      const attempt_conclusion &conclusion, instant now)
+        -> std::optional<request_outcome>
 {
     --request.attempts;
     if (conclusion.reported.result == outcome::Unknown)
@@ -99,7 +100,7 @@
     if (reported.result == outcome::NotRun && request.mayHaveRun)
         reported = unknownOutcome(reported.cause);
     if (!request.work.mayRepeat)
-        endAtMostOnce(table.history, request.id, reported);
+        endAtMostOnce(table.history, request.id, reported, now);
     return reported;
 }
 
@@ -127,14 +128,14 @@
 {
     const auto timedOut = httpResult.failure == http_failure::TimedOut;
     const auto conclusion = classifyOutcome(std::move(httpResult));
-    const auto latency = monotonicNow() - current.startedAt;
+    const auto now = monotonicNow();
     const auto table = groupTable(daemon, current.group);
     std::optional<request_outcome> reported;
     {
         const std::lock_guard guard(table->lock);
         if (!timedOut)
-            freeSlot(*table, current, conclusion.result, latency);
-        reported = recordConclusion(*table, *current.request, conclusion);
+            freeSlot(*table, current, conclusion.result, now - current.startedAt);
+        reported = recordConclusion(*table, *current.request, conclusion, now);
     }
     if (reported)
         current.request->respond(std::move(*reported));
--- a/daemon/dispatch.cpp
+++ b/daemon/dispatch.cpp
@@ -58,7 +58,7 @@
     const auto offered = offer(table.queue, queued, request->work.maxRefusedPermille, now);
     if (!offered.admitted) {
         if (!request->work.mayRepeat)
-            endAtMostOnce(table.history, request->id, notRun(offered.refusal));
+            endAtMostOnce(table.history, request->id, notRun(offered.refusal), now);
         return {notRun(offered.refusal), std::nullopt};
     }
     table.waiting[number] = request;
@@ -66,7 +66,7 @@
     if (offered.shed) {
         result.shed = table.waiting[*offered.shed];
         table.waiting.erase(*offered.shed);
-        endAtMostOnce(table.history, (*result.shed)->id, notRun(reason::ShedForOthers));
+        endAtMostOnce(table.history, (*result.shed)->id, notRun(reason::ShedForOthers), now);
     }
     return result;
 }
@@ -96,7 +96,7 @@
         request->respond(notRun(why));
 }
 
-auto removeRequests(group_table &table, const std::vector<ticket> &tickets)
+auto removeRequests(group_table &table, const std::vector<ticket> &tickets, instant now)
         -> std::vector<shared_request>
 {
     std::vector<shared_request> taken;
@@ -104,7 +104,7 @@
         const auto found = table.waiting.find(number);
         if (found == table.waiting.end())
             continue;
-        endAtMostOnce(table.history, found->second->id, notRun(reason::None));
+        endAtMostOnce(table.history, found->second->id, notRun(reason::None), now);
         taken.push_back(found->second);
         table.waiting.erase(found);
     }
@@ -143,7 +143,7 @@
         const std::scoped_lock guard(daemon.holdings.lock, table->lock);
         const auto now = monotonicNow();
         releaseIfLeaseEnded(daemon.holdings.state, now);
-        expired = removeRequests(*table, removeExpired(table->queue, now));
+        expired = removeRequests(*table, removeExpired(table->queue, now), now);
         for (const auto &start : startRequests(table->queue, now)) {
             const auto request = table->waiting.at(start.request.number);
             table->waiting.erase(start.request.number);
@@ -152,7 +152,7 @@
                 continue;
             }
             finish(table->queue, start.server, attempt_result::Failed, 0us);
-            endAtMostOnce(table->history, request->id, notRun(reason::WrongHolder));
+            endAtMostOnce(table->history, request->id, notRun(reason::WrongHolder), now);
             unsendable.push_back(request);
         }
         scheduleDeadlineCheck(daemon, group, *table, now);
--- a/daemon/dispatch.h
+++ b/daemon/dispatch.h
@@ -17,7 +17,7 @@
 auto returnRequests(const std::vector<shared_request> &requests, reason cause) -> void;
 
 // Removes the requests with the given tickets from a group's table. Called with the group locked.
-auto removeRequests(group_table &table, const std::vector<ticket> &tickets)
+auto removeRequests(group_table &table, const std::vector<ticket> &tickets, instant now)
         -> std::vector<shared_request>;
 
 } // namespace parsleyloft
--- a/daemon/grants.cpp
+++ b/daemon/grants.cpp
@@ -131,14 +131,14 @@
     if (now >= state.leaseEnds && !keyed)
         return {};
     if (isReleasingGroup(state, group, now) || !mayUseGroup(state, group, now))
-        return removeRequests(table, removeAllRequests(table.queue));
+        return removeRequests(table, removeAllRequests(table.queue), now);
     std::vector<shared_request> taken;
     for (const auto &server : servers) {
         for (const auto &assigned : shardsToGrant(state, server.id, now)) {
             if (isReleasingShard(state, assigned.shard, now))
                 append(taken,
-                       removeRequests(table,
-                                      removeShardRequests(table.queue, assigned.shard.index)));
+                       removeRequests(table, removeShardRequests(table.queue, assigned.shard.index),
+                                      now));
         }
     }
     return taken;
@@ -171,7 +171,7 @@
             continue;
         releaseServer(daemon.holdings.state, server.id);
         daemon.holdings.lostServers.insert(server.id);
-        append(taken, removeRequests(table, removeOwnerRequests(table.queue, server.id)));
+        append(taken, removeRequests(table, removeOwnerRequests(table.queue, server.id), now));
     }
     return taken;
 }
--- a/decisions/request_history.cpp
+++ b/decisions/request_history.cpp
@@ -17,27 +17,28 @@
     if (repeated && now < history.completeSince + historyRetention)
         return unknownOutcome(reason::HistoryLost);
     history.entries[id] = {};
-    history.byAge.emplace_back(now, id);
     return std::nullopt;
 }
 
 auto endAtMostOnce(request_history &history, const request_id &id,
-                   const request_outcome &finalOutcome) -> void
+                   const request_outcome &finalOutcome, instant now) -> void
 {
+    const auto known = history.entries.find(id);
+    if (known == history.entries.end() || known->second.finalOutcome)
+        return;
     if (finalOutcome.result == outcome::NotRun) {
-        history.entries.erase(id);
+        history.entries.erase(known);
         return;
     }
-    const auto known = history.entries.find(id);
-    if (known != history.entries.end())
-        known->second.finalOutcome = finalOutcome;
+    known->second.finalOutcome = finalOutcome;
+    history.ended.emplace_back(now, id);
 }
 
 auto dropExpired(request_history &history, instant now) -> void
 {
-    while (!history.byAge.empty() && history.byAge.front().first + historyRetention <= now) {
-        history.entries.erase(history.byAge.front().second);
-        history.byAge.pop_front();
+    while (!history.ended.empty() && history.ended.front().first + historyRetention <= now) {
+        history.entries.erase(history.ended.front().second);
+        history.ended.pop_front();
     }
 }
 
--- a/decisions/request_history.h
+++ b/decisions/request_history.h
@@ -11,7 +11,7 @@
 
 namespace parsleyloft {
 
-// How long the outcome of a request is kept for a caller that repeats it.
+// How long the outcome of a request is kept, from its end, for a caller that repeats it.
 inline constexpr duration historyRetention = 60s;
 
 struct history_entry
@@ -24,8 +24,10 @@
 {
     // All requests of the group have passed through this host since then.
     instant completeSince{};
+    // Invariant: a running request has an entry.
     std::map<request_id, history_entry> entries;
-    std::deque<std::pair<instant, request_id>> byAge;
+    // Invariant: lists each entry with an outcome once, in the order in which the requests ended.
+    std::deque<std::pair<instant, request_id>> ended;
 };
 
 // Registers a request. Returns nothing if it is to run, otherwise the outcome to answer at once.
@@ -33,9 +35,9 @@
 auto beginAtMostOnce(request_history &history, const request_id &id, bool repeated, instant now)
         -> std::optional<request_outcome>;
 
-// Records the outcome. A request that is known not to have run may be sent again.
+// Records the outcome of a running request. One that is known not to have run may be sent again.
 auto endAtMostOnce(request_history &history, const request_id &id,
-                   const request_outcome &finalOutcome) -> void;
+                   const request_outcome &finalOutcome, instant now) -> void;
 
 auto dropExpired(request_history &history, instant now) -> void;
 
--- a/tests/decisions/request_rules_test.cpp
+++ b/tests/decisions/request_rules_test.cpp
@@ -79,7 +79,7 @@
 TEST_CASE_METHOD(history_since_start, "repeat_of_an_answered_request_gets_its_answer", "[history]")
 {
     beginAtMostOnce(history, "r1", false, start);
-    endAtMostOnce(history, "r1", {outcome::Answered, reason::None, "booked"});
+    endAtMostOnce(history, "r1", {outcome::Answered, reason::None, "booked"}, start);
     const auto repeat = beginAtMostOnce(history, "r1", true, start + 1s);
     REQUIRE(repeat);
     CHECK(repeat->body == "booked");
@@ -88,10 +88,44 @@
 TEST_CASE_METHOD(history_since_start, "request_that_was_not_run_may_be_sent_again", "[history]")
 {
     beginAtMostOnce(history, "r1", false, start);
-    endAtMostOnce(history, "r1", notRun(reason::WaitTooLong));
+    endAtMostOnce(history, "r1", notRun(reason::WaitTooLong), start);
     CHECK_FALSE(beginAtMostOnce(history, "r1", false, start + 1s));
 }
 
+// Guards against a second run: a request that was refused once and then ran leaves the history with
+// the age of its refused attempt.
+TEST_CASE_METHOD(history_since_start, "outcome_of_a_request_that_was_refused_before_is_kept",
+                 "[history]")
+{
+    beginAtMostOnce(history, "r1", false, start);
+    endAtMostOnce(history, "r1", notRun(reason::WaitTooLong), start);
+    beginAtMostOnce(history, "r1", false, start + 30s);
+    endAtMostOnce(history, "r1", {outcome::Answered, reason::None, "booked"}, start + 30s);
+    const auto repeat = beginAtMostOnce(history, "r1", true, start + historyRetention + 1s);
+    REQUIRE(repeat);
+    CHECK(repeat->body == "booked");
+}
+
+// Guards against a second run beside the first: a running request leaves the history.
+TEST_CASE_METHOD(history_since_start, "repeat_of_a_request_that_runs_for_long_is_not_started",
+                 "[history]")
+{
+    beginAtMostOnce(history, "r1", false, start);
+    const auto repeat = beginAtMostOnce(history, "r1", true, start + historyRetention + 10s);
+    REQUIRE(repeat);
+    CHECK(repeat->cause == reason::AlreadyRunning);
+}
+
+TEST_CASE_METHOD(history_since_start, "outcome_of_a_long_run_is_kept_from_its_end", "[history]")
+{
+    beginAtMostOnce(history, "r1", false, start);
+    endAtMostOnce(history, "r1", unknownOutcome(reason::ServerFailed), start + 50s);
+    const auto repeat = beginAtMostOnce(history, "r1", true, start + historyRetention + 10s);
+    REQUIRE(repeat);
+    CHECK(repeat->cause == reason::ServerFailed);
+    CHECK_FALSE(beginAtMostOnce(history, "r1", true, start + 50s + historyRetention));
+}
+
 TEST_CASE_METHOD(history_since_start, "repeat_from_before_the_history_of_a_new_holder_is_not_run",
                  "[history]")
 {
