Never call a marked repeat not run

A caller whose request ended as unknown sends it again with the same id and `Repeated: yes`. When that repeat was refused (no holder within its deadline, a queue that is full, a class that was removed, an invalid header), the host answered 503, 429, 404 or 400 with `not_run`: no server ran the request and none will. But its first attempt may have run, or may still run. A caller that takes the answer at its word sends the order under a new id, and it runs twice.

Cause: the refusal was decided from the attempt at hand alone.

The entry of a marked repeat now starts as one that may have run, so that every refusal of it is unknown (502, 504); refusals before there is an entry go through the same rule.

--- a/daemon/entry.cpp
+++ b/daemon/entry.cpp
@@ -28,7 +28,7 @@
     // The group of the last failed attempt: another group is preferred.
     std::optional<group_id> avoidedGroup;
     std::uint32_t spills = 0;
-    // True once the outcome of an attempt was unknown.
+    // True once the outcome of an attempt was unknown, also of one before this request.
     bool mayHaveRun = false;
     reason lastReason = reason::NoServer;
     std::function<void(request_outcome)> respond;
@@ -294,16 +294,22 @@
 
 } // namespace
 
+auto refusalOf(bool repeated, reason cause) -> request_outcome
+{
+    return repeated ? unknownOutcome(cause) : notRun(cause);
+}
+
 auto handleCallerRequest(daemon_process &daemon, class_request request,
                          std::function<void(request_outcome)> respond) -> void
 {
     const auto work = checkRequest(daemon, request);
     if (!work) {
-        respond(notRun(work.error()));
+        respond(refusalOf(request.repeated, work.error()));
         return;
     }
     auto entry = std::make_shared<entry_state>();
     entry->work = *work;
+    entry->mayHaveRun = request.repeated;
     entry->arrived = monotonicNow();
     const auto limit = std::min(work->maxWait, request.limit.value_or(work->maxWait));
     entry->deadline = entry->arrived + limit;
--- a/daemon/entry.h
+++ b/daemon/entry.h
@@ -17,6 +17,10 @@
     bool repeated = false;
 };
 
+// The outcome of a request that is refused: not run, or unknown if the caller has sent it before,
+// since the earlier attempt may have run.
+auto refusalOf(bool repeated, reason cause) -> request_outcome;
+
 // Processes a caller's request. The callback runs exactly once.
 auto handleCallerRequest(daemon_process &daemon, class_request request,
                          std::function<void(request_outcome)> respond) -> void;
--- a/daemon/http_api.cpp
+++ b/daemon/http_api.cpp
@@ -108,13 +108,18 @@
     return response;
 }
 
+auto isRepeated(const http_request &request) -> bool
+{
+    return headerValue(request.headers, "Repeated") == "yes";
+}
+
 auto parseCall(const http_request &request) -> tl::expected<class_request, reason>
 {
     class_request call;
     call.className = std::string(targetPath(request.target).substr(callPrefix.size()));
     call.id = headerValue(request.headers, "Request-Id");
     call.key = headerValue(request.headers, "Key");
-    call.repeated = headerValue(request.headers, "Repeated") == "yes";
+    call.repeated = isRepeated(request);
     if (call.id.size() > maxRequestIdLength || call.key.size() > maxKeyLength)
         return tl::unexpected(reason::BadRequest);
     const auto limit = headerValue(request.headers, "Deadline-Ms");
@@ -132,7 +137,8 @@
 {
     auto call = parseCall(request);
     if (!call || request.method != "POST") {
-        respond(toResponse(headerValue(request.headers, "Request-Id"), notRun(reason::BadRequest)));
+        respond(toResponse(headerValue(request.headers, "Request-Id"),
+                           refusalOf(isRepeated(request), reason::BadRequest)));
         return;
     }
     call->body = std::move(request.body);
