Take an unknown outcome in a peer's reply for unknown

An entry host cast the outcome and the reason of a forwarded request's reply to its enumerations. A reply without an outcome, or with a value of a later version, became an outcome that is none of the three. The caller got 503 with the outcome "invalid", and a caller that reads the status takes 503 for "not run"; 257 and 258 became "answered" and "not run", because the enumerations have eight bits.

Values are looked up in the tables of names now. An outcome that is not there is unknown, as is a reply that is lost. The statuses that state "not run" are used for that outcome alone.

Evidence: a peer that replies 0, 4, 257 and 258 to a forwarded order: the caller got 503 invalid, 503 invalid, 200 answered and 503 not_run, and gets 502 unknown now.

--- a/daemon/entry.cpp
+++ b/daemon/entry.cpp
@@ -157,14 +157,28 @@
     acceptRequest(daemon, target.group, request, entry->request.repeated);
 }
 
+// Decodes a value of an enumeration. Nothing when this host does not know the value.
+template<typename enumeration, std::size_t count>
+auto fromWire(const name_table<enumeration, count> &table, std::uint32_t value)
+        -> std::optional<enumeration>
+{
+    for (const auto &entry : table) {
+        if (static_cast<std::uint32_t>(entry.value) == value)
+            return entry.value;
+    }
+    return std::nullopt;
+}
+
 auto toOutcome(const result<wire::ForwardReply> &reply) -> request_outcome
 {
     if (!reply && reply.error().code == error_code::Unreachable)
         return notRun(reason::HolderUnreachable);
     if (!reply)
         return unknownOutcome(reason::HostLost);
-    return {static_cast<outcome>(reply->outcome()), static_cast<reason>(reply->reason()),
-            reply->body()};
+    const auto decoded = fromWire(outcomeNames, reply->outcome());
+    if (!decoded)
+        return unknownOutcome(reason::HostLost);
+    return {*decoded, fromWire(reasonNames, reply->reason()).value_or(reason::None), reply->body()};
 }
 
 auto toForward(const daemon_process &daemon, const entry_state &entry, const route_target &target,
--- a/daemon/http_api.cpp
+++ b/daemon/http_api.cpp
@@ -77,7 +77,8 @@
 {
     if (reported.result == outcome::Answered)
         return 200;
-    if (reported.result == outcome::Unknown)
+    // The statuses below state that the request was not run.
+    if (reported.result != outcome::NotRun)
         return reported.cause == reason::DeadlinePassed ? 504 : 502;
     switch (reported.cause) {
     case reason::BadRequest:
--- a/tests/daemon/not_run_test.cpp
+++ b/tests/daemon/not_run_test.cpp
@@ -199,4 +199,32 @@
     CHECK(response.status != 503);
 }
 
+// Guards against a status that is taken for "not run": a peer replies to a forwarded order with
+// values that this host does not know.
+TEST_CASE_METHOD(host_that_holds_all_groups, "unknown_outcome_in_a_reply_is_not_called_not_run",
+                 "[daemon]")
+{
+    const auto invalidOutcome = GENERATE(0U, 4U, 257U, 258U);
+    const auto address = "127.0.0.1:" + std::to_string(ports.firstPort + 3);
+    peer_handlers handlers;
+    handlers.forward = [invalidOutcome](const wire::ForwardRequest &,
+                                        const peer_responder<wire::ForwardReply> &respond) {
+        wire::ForwardReply reply;
+        reply.set_outcome(invalidOutcome);
+        respond(reply);
+    };
+    auto peer = startPeerServer(*workers, address, handlers);
+    REQUIRE(peer);
+    updateHostAddress(*daemon, {"peer", "a", "", address});
+    {
+        const std::lock_guard guard(daemon->holdings.lock);
+        daemon->holdings.state.table.groups[ordersA] = {
+                "peer", {{1, 1}, 9}, assignment_phase::Held};
+    }
+    const auto response = call("order", "order-1");
+    CHECK(outcomeOf(response) == "unknown");
+    CHECK(response.status == 502);
+    stopPeerServer(*peer, 1s);
+}
+
 } // namespace parsleyloft
