Judge the history of repeats by shard instead of by group

A host of serve ran a marked repeat whose id it did not know once it had held the group of the key's owner for 60 s. The first attempt need not have come through that group: after the loss of the owner, a balancing move or an evacuation, the key has an owner in another one, and work without a key may be sent to any. So an order whose server ran it and then failed was run again by the next owner, and a caller who repeated work without a key at a host of another domain had it run again there.

Cause: the time since which a history is complete was kept for the group.

It is kept for the shard now, under the shard's epoch, which changes with its owner and with the holder of the owner's group. A repeat that is not in the history runs only if the history also covers the class's longest wait: the first attempt may have been sent that long before its caller got an outcome. Repeats of work without a key run only by an entry of their first attempt, that is, never again.

Evidence: both cases, on a host in the process of the test, were answered 200 and ran twice before; they are unknown with history_lost and run once now. A repeat that a host of long standing does not know still runs. Cost: after a change of owner, such repeats are unknown for 60 s and the wait.

--- a/daemon/dispatch.cpp
+++ b/daemon/dispatch.cpp
@@ -35,6 +35,23 @@
             && mayUseShard(state, shard, now);
 }
 
+auto asAtMostOnce(const pending_request &request, bool repeated) -> at_most_once_request
+{
+    at_most_once_request asked{request.id, repeated, request.work.maxWait, std::nullopt};
+    if (!request.owner.empty())
+        asked.shard = request.shard;
+    return asked;
+}
+
+// Called with holdings and group locked, once the request may be sent.
+auto recordShardOf(const daemon_process &daemon, group_table &table, const group_id &group,
+                   const pending_request &request, instant now) -> void
+{
+    const auto *shard = findShard(daemon.holdings.state.table, {group.service, request.shard});
+    if (!request.owner.empty() && shard != nullptr)
+        recordShard(table.history, request.shard, shard->grantEpoch, now);
+}
+
 struct admission
 {
     // Set when the request is not queued. It is delivered after the locks are released.
@@ -48,7 +65,7 @@
         -> admission
 {
     if (!request->work.mayRepeat) {
-        const auto known = beginAtMostOnce(table.history, request->id, repeated, now);
+        const auto known = beginAtMostOnce(table.history, asAtMostOnce(*request, repeated), now);
         if (known)
             return {known, std::nullopt};
     }
@@ -120,10 +137,12 @@
         const std::scoped_lock guard(daemon.holdings.lock, table->lock);
         const auto now = monotonicNow();
         releaseIfLeaseEnded(daemon.holdings.state, now);
-        if (maySend(daemon, group, *request, now))
+        if (maySend(daemon, group, *request, now)) {
+            recordShardOf(daemon, *table, group, *request, now);
             admitted = admit(*table, request, repeated, now);
-        else
+        } else {
             admitted.immediate = notRun(reason::WrongHolder);
+        }
     }
     if (admitted.shed)
         (*admitted.shed)->respond(notRun(reason::ShedForOthers));
--- a/daemon/grants.cpp
+++ b/daemon/grants.cpp
@@ -60,18 +60,26 @@
 
 // Records whether this host sends to the group, and resets the queue when it starts to. Called
 // with holdings and group locked.
-auto updateSending(group_table &table, const std::vector<server_info> &servers, bool sending,
-                   instant now) -> void
+auto updateSending(group_table &table, const std::vector<server_info> &servers, bool sending)
+        -> void
 {
     if (sending && !table.sending) {
         table.queue.servers.clear();
         table.history = {};
-        table.history.completeSince = now;
     }
     table.sending = sending;
     setServers(table.queue, asLoads(servers));
 }
 
+auto recordShards(const holdings_state &state, group_table &table,
+                  const std::vector<server_info> &servers, instant now) -> void
+{
+    for (const auto &server : servers) {
+        for (const auto &assigned : shardsToGrant(state, server.id, now))
+            recordShard(table.history, assigned.shard.index, assigned.grantEpoch, now);
+    }
+}
+
 // Shards of the server that are being released and run no work: the next grant leaves them out.
 auto idleReleasingShards(holdings_state &state, const group_table &table, const group_id &group,
                          const server_id &server, instant now) -> std::vector<shard_id>
@@ -186,7 +194,7 @@
     releaseIfLeaseEnded(state, now);
     const auto servers = serversOf(state.table, group);
     const auto wasSending = table->sending;
-    updateSending(*table, servers, holdsGroup(state, group, now), now);
+    updateSending(*table, servers, holdsGroup(state, group, now));
     group_step step;
     if (wasSending || table->sending) {
         step.returnedRequests = takeReleasedWork(daemon, *table, group, servers, now);
@@ -200,6 +208,7 @@
         step.groupReleased = true;
         return step;
     }
+    recordShards(state, *table, servers, now);
     for (const auto &server : servers)
         step.outgoing.push_back(prepareGrant(daemon, *table, group, server, now));
     return step;
--- a/tests/daemon/not_run_test.cpp
+++ b/tests/daemon/not_run_test.cpp
@@ -72,7 +72,7 @@
     }};
 };
 
-// A host that has held all groups for an hour, without a leader: the tests set its table.
+// A host that holds all groups, without a leader: the tests set its table.
 struct host_that_holds_all_groups : two_backends
 {
     host_that_holds_all_groups()
@@ -109,8 +109,6 @@
                 const std::lock_guard guard(table->lock);
                 return table->sending && !table->queue.servers.empty();
             });
-            const std::lock_guard guard(table->lock);
-            table->history.completeSince = monotonicNow() - 1h;
         }
     }
 
@@ -199,6 +197,61 @@
     CHECK(response.status != 503);
 }
 
+// Guards against a second run: the key moves to an owner in another group, whose history has no
+// entry of the first attempt.
+TEST_CASE_METHOD(host_that_holds_all_groups,
+                 "repeat_of_an_order_is_not_run_by_the_next_owner_of_its_key", "[daemon]")
+{
+    losesAnswers = true;
+    REQUIRE(outcomeOf(call("order", "order-1")) == "unknown");
+    losesAnswers = false;
+    setOwner("orders-b", 3);
+    header_list repeated;
+    repeated["Repeated"] = "yes";
+    const auto response = call("order", "order-1", repeated);
+    CHECK(outcomeOf(response) == "unknown");
+    CHECK(reasonOf(response) == "history_lost");
+    CHECK(countRuns("order-1") == 1);
+}
+
+TEST_CASE_METHOD(host_that_holds_all_groups,
+                 "repeat_of_an_order_that_never_came_is_run_by_an_owner_of_long_standing",
+                 "[daemon]")
+{
+    REQUIRE(outcomeOf(call("order", "order-0")) == "answered");
+    {
+        const auto table = groupTable(*daemon, ordersA);
+        const std::lock_guard guard(table->lock);
+        table->history.shards.at(0).completeSince -= 1h;
+    }
+    header_list repeated;
+    repeated["Repeated"] = "yes";
+    CHECK(outcomeOf(call("order", "order-1", repeated)) == "answered");
+    CHECK(outcomeOf(call("order", "order-1", repeated)) == "answered");
+    CHECK(countRuns("order-1") == 1);
+}
+
+// Guards against a second run: work without a key may be sent to any group, and only the history of
+// one of them has an entry of the first attempt.
+TEST_CASE_METHOD(host_that_holds_all_groups,
+                 "repeat_of_work_without_a_key_is_not_run_by_another_group", "[daemon]")
+{
+    losesAnswers = true;
+    REQUIRE(outcomeOf(call("job", "job-1")) == "unknown");
+    REQUIRE(countRuns("job-1") == 1);
+    losesAnswers = false;
+    {
+        const std::lock_guard guard(daemon->configured.lock);
+        daemon->configured.current.evacuatedDomains.insert("a");
+    }
+    header_list repeated;
+    repeated["Repeated"] = "yes";
+    const auto response = call("job", "job-1", repeated);
+    CHECK(outcomeOf(response) == "unknown");
+    CHECK(reasonOf(response) == "history_lost");
+    CHECK(countRuns("job-1") == 1);
+}
+
 // Guards against a status that is taken for "not run": a peer replies to a forwarded order with
 // values that this host does not know.
 TEST_CASE_METHOD(host_that_holds_all_groups, "unknown_outcome_in_a_reply_is_not_called_not_run",
--- a/tests/decisions/request_rules_test.cpp
+++ b/tests/decisions/request_rules_test.cpp
@@ -11,8 +11,17 @@
 
 struct history_since_start
 {
+    history_since_start() { recordShard(history, shard, {{1, 1}, 1}, start); }
+
+    auto begin(const request_id &id, bool repeated, instant now) -> std::optional<request_outcome>
+    {
+        return beginAtMostOnce(history, {id, repeated, maxWait, shard}, now);
+    }
+
+    const shard_index shard = 3;
+    const duration maxWait = 8s;
     instant start{1h};
-    request_history history{start, {}, {}};
+    request_history history;
 };
 
 struct two_domains
@@ -69,8 +78,8 @@
 
 TEST_CASE_METHOD(history_since_start, "repeat_of_a_running_request_is_not_started", "[history]")
 {
-    CHECK_FALSE(beginAtMostOnce(history, "r1", false, start));
-    const auto repeat = beginAtMostOnce(history, "r1", true, start + 1s);
+    CHECK_FALSE(begin("r1", false, start));
+    const auto repeat = begin("r1", true, start + 1s);
     REQUIRE(repeat);
     CHECK(repeat->result == outcome::Unknown);
     CHECK(repeat->cause == reason::AlreadyRunning);
@@ -78,18 +87,18 @@
 
 TEST_CASE_METHOD(history_since_start, "repeat_of_an_answered_request_gets_its_answer", "[history]")
 {
-    beginAtMostOnce(history, "r1", false, start);
+    begin("r1", false, start);
     endAtMostOnce(history, "r1", {outcome::Answered, reason::None, "booked"}, start);
-    const auto repeat = beginAtMostOnce(history, "r1", true, start + 1s);
+    const auto repeat = begin("r1", true, start + 1s);
     REQUIRE(repeat);
     CHECK(repeat->body == "booked");
 }
 
 TEST_CASE_METHOD(history_since_start, "request_that_was_not_run_may_be_sent_again", "[history]")
 {
-    beginAtMostOnce(history, "r1", false, start);
+    begin("r1", false, start);
     endAtMostOnce(history, "r1", notRun(reason::WaitTooLong), start);
-    CHECK_FALSE(beginAtMostOnce(history, "r1", false, start + 1s));
+    CHECK_FALSE(begin("r1", false, start + 1s));
 }
 
 // Guards against a second run: a request that was refused once and then ran leaves the history with
@@ -97,11 +106,11 @@
 TEST_CASE_METHOD(history_since_start, "outcome_of_a_request_that_was_refused_before_is_kept",
                  "[history]")
 {
-    beginAtMostOnce(history, "r1", false, start);
+    begin("r1", false, start);
     endAtMostOnce(history, "r1", notRun(reason::WaitTooLong), start);
-    beginAtMostOnce(history, "r1", false, start + 30s);
+    begin("r1", false, start + 30s);
     endAtMostOnce(history, "r1", {outcome::Answered, reason::None, "booked"}, start + 30s);
-    const auto repeat = beginAtMostOnce(history, "r1", true, start + historyRetention + 1s);
+    const auto repeat = begin("r1", true, start + historyRetention + 1s);
     REQUIRE(repeat);
     CHECK(repeat->body == "booked");
 }
@@ -110,29 +119,52 @@
 TEST_CASE_METHOD(history_since_start, "repeat_of_a_request_that_runs_for_long_is_not_started",
                  "[history]")
 {
-    beginAtMostOnce(history, "r1", false, start);
-    const auto repeat = beginAtMostOnce(history, "r1", true, start + historyRetention + 10s);
+    begin("r1", false, start);
+    const auto repeat = begin("r1", true, start + historyRetention + 10s);
     REQUIRE(repeat);
     CHECK(repeat->cause == reason::AlreadyRunning);
 }
 
 TEST_CASE_METHOD(history_since_start, "outcome_of_a_long_run_is_kept_from_its_end", "[history]")
 {
-    beginAtMostOnce(history, "r1", false, start);
+    begin("r1", false, start);
     endAtMostOnce(history, "r1", unknownOutcome(reason::ServerFailed), start + 50s);
-    const auto repeat = beginAtMostOnce(history, "r1", true, start + historyRetention + 10s);
+    const auto repeat = begin("r1", true, start + historyRetention + 10s);
     REQUIRE(repeat);
     CHECK(repeat->cause == reason::ServerFailed);
-    CHECK_FALSE(beginAtMostOnce(history, "r1", true, start + 50s + historyRetention));
+    CHECK_FALSE(begin("r1", true, start + 50s + historyRetention));
 }
 
 TEST_CASE_METHOD(history_since_start, "repeat_from_before_the_history_of_a_new_holder_is_not_run",
                  "[history]")
 {
-    const auto answered = beginAtMostOnce(history, "r1", true, start + 1s);
+    const auto answered = begin("r1", true, start + 1s);
     REQUIRE(answered);
     CHECK(answered->cause == reason::HistoryLost);
-    CHECK_FALSE(beginAtMostOnce(history, "r2", true, start + historyRetention));
+    const auto complete = start + maxWait + historyRetention;
+    // The first attempt may have waited until its deadline at the earlier holder.
+    CHECK(begin("r2", true, complete - 1us)->cause == reason::HistoryLost);
+    CHECK_FALSE(begin("r2", true, complete));
+}
+
+// Guards against a second run: another owner or holder has had the shard.
+TEST_CASE_METHOD(history_since_start, "repeat_after_the_return_of_a_shard_is_not_run", "[history]")
+{
+    const auto back = start + 1h;
+    recordShard(history, shard, {{1, 1}, 1}, back);
+    CHECK_FALSE(begin("r1", true, back));
+    recordShard(history, shard, {{1, 1}, 3}, back);
+    const auto answered = begin("r2", true, back + maxWait);
+    REQUIRE(answered);
+    CHECK(answered->cause == reason::HistoryLost);
+}
+
+TEST_CASE_METHOD(history_since_start, "repeat_of_work_without_a_key_is_not_run", "[history]")
+{
+    const auto repeat = beginAtMostOnce(history, {"r1", true, maxWait, std::nullopt}, start + 1h);
+    REQUIRE(repeat);
+    CHECK(repeat->cause == reason::HistoryLost);
+    CHECK_FALSE(beginAtMostOnce(history, {"r2", false, maxWait, std::nullopt}, start + 1h));
 }
 
 TEST_CASE_METHOD(two_domains, "request_without_key_stays_in_its_own_domain", "[routing]")
