Report a call without an outcome as unknown

`parsleyloft call` exited with 1, the code of a refused request, for every answer whose outcome was neither answered nor unknown: also for one without an outcome, as a proxy before the host sends it with 502 or 503, and for an outcome of a later version. A script that takes 1 for "not run" sends the order again under a new id.

The code is 1 for the outcome not_run alone now, and 6 for any other.

--- a/command/call_command.cpp
+++ b/command/call_command.cpp
@@ -57,8 +57,9 @@
     }
     std::cerr << "status=" << response.status << " outcome=" << outcomeName
               << " reason=" << reasonName << "\n";
-    return outcomeName == nameIn(outcomeNames, outcome::Unknown) ? exit_code::Unknown
-                                                                 : exit_code::Failed;
+    // Only a host states that the request was not run. The status alone may come from a proxy.
+    return outcomeName == nameIn(outcomeNames, outcome::NotRun) ? exit_code::Failed
+                                                                : exit_code::Unknown;
 }
 
 } // namespace
--- a/command/exit_code.h
+++ b/command/exit_code.h
@@ -7,7 +7,7 @@
 
 enum class exit_code {
     Success = 0,
-    // The command ran and failed: the audit found a breach, a request was not answered, or a drain
+    // The command ran and failed: the audit found a breach, a request was not run, or a drain
     // reached its limit.
     Failed = 1,
     // The command line or an input file is invalid.
@@ -15,7 +15,7 @@
     Unreachable = 3,
     Conflict = 4,
     NotFound = 5,
-    // A change may or may not have been stored.
+    // A change may or may not have been stored, or a request may or may not have run.
     Unknown = 6,
 };
 
--- a/tests/process/command_test.cpp
+++ b/tests/process/command_test.cpp
@@ -1,6 +1,7 @@
 // Responses and exit codes of the shipped program for invalid requests, commands and settings.
 #include "codec/json.h"
 #include "command/exit_code.h"
+#include "support/raw_server.h"
 #include "tests/support/cluster.h"
 
 #include <catch2/catch.hpp>
@@ -63,6 +64,20 @@
     CHECK(runProgram("no-such-command") == exit_code::Usage);
 }
 
+// Guards against a false "not run": an answer without an outcome, as of a proxy between the caller
+// and the host, was reported like a refusal.
+TEST_CASE("call_without_an_outcome_in_its_answer_is_reported_as_unknown", "[process]")
+{
+    const auto headers =
+            GENERATE(as<std::string>{}, "502 Bad Gateway\r\n", "503 Unavailable\r\n", "200 OK\r\n",
+                     "503 Unavailable\r\nParsleyloft-Outcome: invalid\r\n");
+    raw_server server([&](raw_connection &connection) {
+        return sendAll(connection, "HTTP/1.1 " + headers + "Content-Length: 0\r\n\r\n");
+    });
+    CHECK(runProgram("call --class check --at " + formatEndpoint(server.address))
+          == exit_code::Unknown);
+}
+
 TEST_CASE_METHOD(cluster, "invalid_settings_stop_the_host_with_an_exit_code", "[process]")
 {
     const auto path = directory + "/wrong.json";
