Send grants that leave shards out over connections of their own

A host of serve takes a server's reply to a grant that leaves a shard out for the release of that shard, and the leader then gives it to another owner. Replies to grants carry no id, and the grant went over a kept connection: the second copy of an earlier reply, late, was taken for its reply. The server that had refused the grant, or never got it, still held the shard under an earlier one, beside the next owner.

Such a grant goes over a new connection, on which no earlier reply can be under way. Other grants stay on kept connections: an earlier reply gives an earlier clock of the server, so that grants and deadlines end earlier.

--- a/daemon/grants.cpp
+++ b/daemon/grants.cpp
@@ -271,7 +271,12 @@
     request.target = "/grants";
     request.body = toJson(sent.message);
     const auto address = sent.address;
-    sendHttp(daemon.serverClient, address, std::move(request), {grantTimeout, {}},
+    http_send_options options;
+    options.timeout = grantTimeout;
+    // Replies to grants have no id. On a connection that carried others, a late copy of one of them
+    // would count as the server's release.
+    options.newConnection = !sent.droppedShards.empty();
+    sendHttp(daemon.serverClient, address, std::move(request), options,
              [&daemon, sent = std::move(sent)](const http_outcome &httpResult) {
                  wire::GrantReply reply;
                  const auto valid = httpResult.failure == http_failure::None
--- a/tests/support/raw_backend.cpp
+++ b/tests/support/raw_backend.cpp
@@ -1,9 +1,7 @@
-// A backend server of `parsleyloft serve` that accepts every grant and whose answers to requests
-// are given byte by byte.
+// A backend server of `parsleyloft serve` whose answers to requests are given byte by byte.
 #include "support/raw_backend.h"
 
 #include "codec/json.h"
-#include "generated/server.pb.h"
 #include "transport/worker_pool.h"
 
 #include <sys/socket.h>
@@ -34,13 +32,14 @@
     if (connection.request.starts_with("POST /run "))
         return backend.run(connection, rawHeader(connection, "Request-Id"));
     wire::GrantRequest grant;
-    wire::GrantReply reply;
-    reply.set_accepted(true);
-    reply.set_clock_us(toMicroseconds(monotonicNow()));
-    reply.set_start_number(1);
-    if (readLenientJson(body, grant))
-        *reply.mutable_group_epoch() = grant.group_epoch();
-    return sendAll(connection, rawResponse("200 OK\r\n", toJson(reply)));
+    if (!readLenientJson(body, grant))
+        return false;
+    raw_grant answer;
+    {
+        const std::lock_guard guard(backend.lock);
+        answer = backend.grant;
+    }
+    return answer ? answer(connection, grant) : sendAll(connection, grantResponse(grant, true));
 }
 
 } // namespace
@@ -56,4 +55,14 @@
             + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+auto grantResponse(const wire::GrantRequest &grant, bool accepted) -> std::string
+{
+    wire::GrantReply reply;
+    reply.set_accepted(accepted);
+    reply.set_clock_us(toMicroseconds(monotonicNow()));
+    reply.set_start_number(1);
+    *reply.mutable_group_epoch() = grant.group_epoch();
+    return rawResponse("200 OK\r\n", toJson(reply));
+}
+
 } // namespace parsleyloft
