Report a change as unknown once a write of it may be stored

When the answer to an operator's change was lost, the host reads the configuration back and tries again. If that second attempt failed because of what had been written since (409, 404), or because no connection to the store could be made (503), the operator got that result: nothing was stored. But the first write may have been, below the other operator's.

Cause: only an attempt that ran out reported the write that had no answer.

Every failure after such a write is unknown now (504).

Evidence: a store that stores a change, loses the answer and has another operator's write by the next read: Conflict before, Unknown now.

--- a/daemon/operators.cpp
+++ b/daemon/operators.cpp
@@ -62,6 +62,15 @@
     pending->done(stored);
 }
 
+// Ends a change that could not be made. If an earlier write of it may have been stored, the result
+// is unknown.
+auto finishFailed(const shared_change &pending, error failed) -> void
+{
+    if (pending->unconfirmed)
+        failed.code = error_code::Unknown;
+    pending->done(tl::unexpected(std::move(failed)));
+}
+
 auto finishWrite(daemon_process &daemon, const shared_change &pending, const configuration &next,
                  const result<void> &reply) -> void
 {
@@ -70,7 +79,7 @@
         return;
     }
     if (reply.error().code == error_code::Unreachable) {
-        pending->done(tl::unexpected(reply.error()));
+        finishFailed(pending, reply.error());
         return;
     }
     if (reply.error().code == error_code::Unknown)
@@ -83,7 +92,7 @@
 {
     const auto current = parseConfiguration(stored);
     if (!current) {
-        pending->done(tl::unexpected(current.error()));
+        finishFailed(pending, current.error());
         return;
     }
     // The write whose reply was lost has taken effect.
@@ -93,7 +102,7 @@
     }
     const auto next = applyChange(*current, pending->change, pending->expected, daemon.services);
     if (!next) {
-        pending->done(tl::unexpected(next.error()));
+        finishFailed(pending, next.error());
         return;
     }
     storeWrite(daemon, configurationKey(), toWire(*next).SerializeAsString(), stored.index,
