Report an operator's call without a readable answer as unknown

`parsleyloft class set` and the other operator commands exited with 2 (invalid command line) when the answer was not one of a host, as the 502 of a proxy: the change may have been stored. The code is 6 (unknown) now.

--- a/command/operator_client.cpp
+++ b/command/operator_client.cpp
@@ -16,8 +16,10 @@
 auto toError(const http_response &response) -> error
 {
     wire::ErrorAnswer answer;
+    // Not an answer of a host: that of a proxy before it does not show whether the host got the
+    // call.
     if (!readLenientJson(response.body, answer))
-        return {error_code::InvalidInput, "status " + std::to_string(response.status)};
+        return {error_code::Unknown, "status " + std::to_string(response.status)};
     const auto code = valueIn(errorCodeNames, answer.error());
     return {code.value_or(error_code::Unknown), answer.detail()};
 }
--- a/tests/process/command_test.cpp
+++ b/tests/process/command_test.cpp
@@ -78,6 +78,17 @@
           == exit_code::Unknown);
 }
 
+// Guards against a change that is reported as refused while the host may have stored it.
+TEST_CASE("change_without_a_readable_answer_is_reported_as_unknown", "[process]")
+{
+    raw_server server([](raw_connection &connection) {
+        return sendAll(connection,
+                       "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 11\r\n\r\nbad gateway");
+    });
+    CHECK(runProgram("class remove nothing --at " + formatEndpoint(server.address))
+          == exit_code::Unknown);
+}
+
 TEST_CASE_METHOD(cluster, "invalid_settings_stop_the_host_with_an_exit_code", "[process]")
 {
     const auto path = directory + "/wrong.json";
