Distinguish the raw server's connections by number in tests

The tests of late copies keep what each connection has carried by its socket. A socket's number is given to a new connection once the old one is closed, and the copy of a refusal then came on a connection that had not carried it, which no server does.

--- a/tests/daemon/grants_test.cpp
+++ b/tests/daemon/grants_test.cpp
@@ -16,7 +16,7 @@
     auto answer(raw_connection &connection, const wire::GrantRequest &grant) -> bool
     {
         const std::lock_guard guard(lock);
-        auto &last = replies[connection.socket];
+        auto &last = replies[connection.number];
         const auto dropsShard = grant.until_us() != 0 && grant.shards_size() == 0;
         if (!releasing || !dropsShard) {
             granted = granted || grant.shards_size() > 0;
--- a/tests/process/serve_not_run_test.cpp
+++ b/tests/process/serve_not_run_test.cpp
@@ -47,7 +47,7 @@
         std::string copy;
         {
             const std::lock_guard guard(backend.lock);
-            auto &refusal = refusals[connection.socket];
+            auto &refusal = refusals[connection.number];
             if (refused.insert(id).second) {
                 refusal = rawResponse("503 Full\r\nRun: no\r\n" + idLine, "");
                 return sendAll(connection, refusal);
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -40,9 +40,9 @@
     return true;
 }
 
-auto serveConnection(raw_server &server, int socket) -> void
+auto serveConnection(raw_server &server, int socket, int number) -> void
 {
-    raw_connection connection{socket, {}};
+    raw_connection connection{socket, number, {}};
     while (readRequest(server, connection) && server.handler(connection)) { }
     if (connection.socket >= 0)
         ::close(connection.socket);
@@ -55,9 +55,9 @@
         const auto socket = ::accept(server.listener, nullptr, nullptr);
         if (socket < 0)
             continue;
-        ++server.connections;
+        const auto number = ++server.connections;
         ++server.openConnections;
-        std::thread(serveConnection, std::ref(server), socket).detach();
+        std::thread(serveConnection, std::ref(server), socket, number).detach();
     }
 }
 
