Let callers of the failure tests repeat what may have run

The load of the failure tests sent each request once, so no test covered repeats marked as such, neither their refusals nor second runs. The auditor judges all calls of one id together. The failure tests use two; the default stays none.

--- a/lab/load_generator.cpp
+++ b/lab/load_generator.cpp
@@ -29,6 +29,9 @@
 constexpr duration healthCheckTimeout = 300ms;
 constexpr duration callTimeout = 30s;
 constexpr std::size_t maxIdlePerHost = 256;
+// Range of the delay before a request whose outcome was unknown is sent again.
+constexpr duration minRepeatDelay = 20ms;
+constexpr duration maxRepeatDelay = 3s;
 
 // One part of the mix: a class, its request rate, and the number of keys to draw from.
 struct mix_part
@@ -45,6 +48,8 @@
     double seconds = 10;
     double zipf = 0.9;
     std::uint64_t seed = 1;
+    // How often a request is sent again, marked as repeated, after an unknown outcome.
+    std::uint32_t repeats = 0;
     std::string journalPath;
     std::string reportPath;
     std::string prefix = "load";
@@ -165,6 +170,7 @@
     std::string key;
     endpoint host;
     instant sentAt{};
+    std::uint32_t repeats = 0;
 };
 
 auto toEvent(const call_record &call, wire::JournalKind kind) -> wire::JournalEvent
@@ -187,6 +193,8 @@
     return headerValue(httpOutcome.response.headers, "Parsleyloft-Outcome");
 }
 
+auto repeatLater(load_state &state, call_record call) -> void;
+
 auto endCall(load_state &state, const call_record &call, const http_outcome &httpOutcome) -> void
 {
     const auto latency = monotonicNow() - call.sentAt;
@@ -206,20 +214,16 @@
             ++results.reasons[outcome + "/" + event.reason()];
     }
     recordEvent(state.events, std::move(event));
-    --state.openCalls;
+    const auto mayHaveRun = outcome == "unknown" || outcome == "cut";
+    if (mayHaveRun && call.repeats < state.options.repeats)
+        repeatLater(state, call);
+    else
+        --state.openCalls;
 }
 
-auto sendCall(load_state &state, std::size_t part) -> void
+// The call counts as open already.
+auto send(load_state &state, const call_record &call) -> void
 {
-    call_record call;
-    {
-        const std::lock_guard guard(state.lock);
-        call.className = state.options.mix[part].name;
-        call.id = state.options.prefix + "-" + std::to_string(state.nextId++);
-        call.key = drawKey(state, part);
-        call.host = state.options.hosts[chooseHost(state)];
-    }
-    call.sentAt = monotonicNow();
     recordEvent(state.events, toEvent(call, wire::JOURNAL_KIND_CALL_SENT));
     http_request request;
     request.method = "POST";
@@ -227,13 +231,49 @@
     request.headers["Request-Id"] = call.id;
     if (!call.key.empty())
         request.headers["Key"] = call.key;
+    if (call.repeats > 0)
+        request.headers["Repeated"] = "yes";
     request.body = "body of " + call.id;
-    ++state.openCalls;
     sendHttp(
             state.client, call.host, std::move(request), {callTimeout, {}},
             [&state, call](const http_outcome &httpOutcome) { endCall(state, call, httpOutcome); });
 }
 
+auto repeatLater(load_state &state, call_record call) -> void
+{
+    ++call.repeats;
+    duration delay{};
+    {
+        const std::lock_guard guard(state.lock);
+        std::uniform_int_distribution<std::int64_t> draw(minRepeatDelay.count(),
+                                                         maxRepeatDelay.count());
+        delay = duration(draw(state.random));
+    }
+    postAfter(*state.pool, delay, [&state, call]() mutable {
+        {
+            const std::lock_guard guard(state.lock);
+            call.host = state.options.hosts[chooseHost(state)];
+        }
+        call.sentAt = monotonicNow();
+        send(state, call);
+    });
+}
+
+auto sendCall(load_state &state, std::size_t part) -> void
+{
+    call_record call;
+    {
+        const std::lock_guard guard(state.lock);
+        call.className = state.options.mix[part].name;
+        call.id = state.options.prefix + "-" + std::to_string(state.nextId++);
+        call.key = drawKey(state, part);
+        call.host = state.options.hosts[chooseHost(state)];
+    }
+    call.sentAt = monotonicNow();
+    ++state.openCalls;
+    send(state, call);
+}
+
 // Schedules the calls of one part of the mix as a Poisson process. Calls that are late are sent
 // immediately.
 auto scheduleCalls(load_state &state, std::size_t part, instant due) -> void
@@ -345,6 +385,8 @@
                               "exponent of the Zipf distribution of keys");
     description.add_options()("seed", program_options::value(&parsed.seed),
                               "seed of arrival times and keys");
+    description.add_options()("repeats", program_options::value(&parsed.repeats),
+                              "how often a request of unknown outcome is sent again");
     description.add_options()("prefix", program_options::value(&parsed.prefix),
                               "prefix of the request ids");
     description.add_options()("journal", program_options::value(&parsed.journalPath),
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -168,7 +168,7 @@
                 + std::to_string(part.per_second() * factor) + ":" + std::to_string(part.keys());
     spawn(cluster, prefix, PARSLEYLOFT_LAB,
           {"load", "--at=" + cluster.plan.callerAddresses, "--mix=" + mix,
-           "--seconds=" + std::to_string(seconds), "--prefix=" + prefix,
+           "--seconds=" + std::to_string(seconds), "--prefix=" + prefix, "--repeats=2",
            "--journal=" + cluster.directory + "/" + prefix + ".journal",
            "--report=" + loadReportPath(cluster, prefix)});
 }
