Send no request whose caller has given it up

An entry host routes a request again until its deadline while no holder is in reach. It did so also after the caller had closed its connection. Such a caller takes the outcome for unknown and sends an order again, marked, to another host. When that host's holder ran the repeat and the key then moved to a holder in reach of the first host, the first attempt, which is not marked, ran there as well.

Routing ends with the caller's connection now. What was sent before is judged by the holder's history, as before. A connection whose end does not reach the host still counts as a waiting caller.

--- a/daemon/entry.cpp
+++ b/daemon/entry.cpp
@@ -235,8 +235,18 @@
     return {chooseTarget(view, request, now), now >= state.leaseEnds};
 }
 
+auto isGivenUp(const class_request &request) -> bool
+{
+    return request.givenUp != nullptr && *request.givenUp;
+}
+
 auto routeEntry(daemon_process &daemon, const shared_entry &entry) -> void
 {
+    // The caller may have sent it again through another host, and it may have run there.
+    if (isGivenUp(entry->request)) {
+        finishEntry(daemon, entry, unknownOutcome(entry->lastReason));
+        return;
+    }
     if (monotonicNow() >= entry->deadline) {
         finishEntry(daemon, entry, notRun(reason::DeadlinePassed));
         return;
--- a/daemon/entry.h
+++ b/daemon/entry.h
@@ -15,6 +15,8 @@
     std::optional<duration> limit;
     // True when the caller states that it has sent the same request before.
     bool repeated = false;
+    // Set once the caller has given the request up. Null when that is not known.
+    std::shared_ptr<const std::atomic<bool>> givenUp;
 };
 
 // The outcome of a request that is refused: not run, or unknown if the caller has sent it before,
--- a/daemon/http_api.cpp
+++ b/daemon/http_api.cpp
@@ -143,6 +143,9 @@
         return;
     }
     call->body = std::move(request.body);
+    const auto givenUp = std::make_shared<std::atomic<bool>>(false);
+    onCallerDisconnect(request.caller, [givenUp] { *givenUp = true; });
+    call->givenUp = givenUp;
     const auto id = call->id;
     handleCallerRequest(daemon, std::move(*call),
                         [id, respond = std::move(respond)](request_outcome reported) {
--- a/tests/daemon/not_run_test.cpp
+++ b/tests/daemon/not_run_test.cpp
@@ -1,6 +1,7 @@
 // What one host of `parsleyloft serve` answers its callers after attempts whose outcome was
 // unknown, and what it runs when they send such requests again.
 #include "support/host_in_process.h"
+#include "transport/blocking_call.h"
 
 #include <catch2/catch.hpp>
 
@@ -106,6 +107,35 @@
     CHECK(countRuns(*this, "job-1") == 1);
 }
 
+// Guards against a second run: a caller gives up while its order waits for a route, and sends it
+// again through another host, after which the key moves within reach of this one.
+TEST_CASE_METHOD(host_that_holds_all_groups, "order_of_a_caller_that_is_gone_is_not_sent",
+                 "[daemon]")
+{
+    {
+        const std::lock_guard guard(daemon->holdings.lock);
+        daemon->holdings.state.table.groups[ordersA] = {
+                "unreachable", {{1, 1}, 9}, assignment_phase::Held};
+    }
+    {
+        const std::lock_guard guard(daemon->configured.lock);
+        daemon->configured.current.classes["order"].maxWait = 10min;
+    }
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/call/order";
+    request.headers["Request-Id"] = "order-1";
+    request.headers["Key"] = "key";
+    const auto target = *parseEndpoint(daemon->settings.caller_address());
+    REQUIRE(callAndWait(client, target, request, 100ms).failure == http_failure::TimedOut);
+    waitUntil("the order has ended, long before its deadline",
+              [&] { return countOpenRequests(daemon->callerServer) == 0; });
+    setOwner(*this, "orders-b", 3);
+    // A later order goes the same way.
+    REQUIRE(outcomeOf(callClass(*this, "order", "order-2")) == "answered");
+    CHECK(countRuns(*this, "order-1") == 0);
+}
+
 // Guards against a status that is taken for "not run": a peer replies to a forwarded order with
 // values that this host does not know.
 TEST_CASE_METHOD(host_that_holds_all_groups, "unknown_outcome_in_a_reply_is_not_called_not_run",
