--- a/tests/daemon/not_run_test.cpp
+++ b/tests/daemon/not_run_test.cpp
@@ -141,13 +141,13 @@
 TEST_CASE_METHOD(host_that_holds_all_groups, "unknown_outcome_in_a_reply_is_not_called_not_run",
                  "[daemon]")
 {
-    const auto invalidOutcome = GENERATE(0U, 4U, 257U, 258U);
+    std::atomic<std::uint32_t> replied = 0;
     const auto address = "127.0.0.1:" + std::to_string(ports.firstPort + 3);
     peer_handlers handlers;
-    handlers.forward = [invalidOutcome](const wire::ForwardRequest &,
-                                        const peer_responder<wire::ForwardReply> &respond) {
+    handlers.forward = [&replied](const wire::ForwardRequest &,
+                                  const peer_responder<wire::ForwardReply> &respond) {
         wire::ForwardReply reply;
-        reply.set_outcome(invalidOutcome);
+        reply.set_outcome(replied);
         respond(reply);
     };
     auto peer = startPeerServer(*workers, address, handlers);
@@ -158,9 +158,13 @@
         daemon->holdings.state.table.groups[ordersA] = {
                 "peer", {{1, 1}, 9}, assignment_phase::Held};
     }
-    const auto response = callClass(*this, "order", "order-1");
-    CHECK(outcomeOf(response) == "unknown");
-    CHECK(response.status == 502);
+    for (const auto invalid : {0U, 4U, 257U, 258U}) {
+        replied = invalid;
+        const auto response = callClass(*this, "order", "order-" + std::to_string(invalid));
+        CAPTURE(invalid);
+        CHECK(outcomeOf(response) == "unknown");
+        CHECK(response.status == 502);
+    }
     stopPeerServer(*peer, 1s);
 }
 
