Take "Run: no" only beside a status of refusal at the hosts of serve

A host of serve took `Run: no` for "not run" beside any status but 200, and a 200 for an answer whatever it stated. An order that ran and was answered 500 or 204 with the statement was sent again until the budget of repeats was spent, and its caller then got 503 not_run.

The statement counts beside 400, 409, 429, 503 and 504 now; beside any other status the outcome is unknown.

--- a/daemon/attempt.cpp
+++ b/daemon/attempt.cpp
@@ -19,8 +19,14 @@
     attempt_result result = attempt_result::Failed;
 };
 
+// The statuses beside which a server states that it refused a request.
+auto isRefusalStatus(unsigned status) -> bool
+{
+    return status == 400 || status == 409 || status == 429 || status == 503 || status == 504;
+}
+
 // Classifies the result of an attempt. Once the request was sent, the outcome is "not run" only if
-// the server states that in the Run header of its response.
+// the server states that in the Run header of a refusal.
 auto classifyOutcome(http_outcome &&httpResult) -> attempt_conclusion
 {
     switch (httpResult.failure) {
@@ -37,10 +43,11 @@
         break;
     }
     auto &response = httpResult.response;
-    if (response.status == 200)
+    const auto statesNotRun = headerValue(response.headers, "Run") == "no";
+    if (response.status == 200 && !statesNotRun)
         return {{outcome::Answered, reason::None, std::move(response.body)},
                 attempt_result::Answered};
-    if (headerValue(response.headers, "Run") != "no")
+    if (!statesNotRun || !isRefusalStatus(response.status))
         return {unknownOutcome(reason::ServerFailed), attempt_result::Failed};
     if (response.status == 409)
         return {notRun(reason::NoOwner), attempt_result::Failed};
--- a/tests/daemon/not_run_test.cpp
+++ b/tests/daemon/not_run_test.cpp
@@ -136,6 +136,28 @@
     CHECK(countRuns(*this, "order-1") == 0);
 }
 
+// Guards against a false "not run": an order ran, and its answer has the statement of a refusal
+// beside a status that is none.
+TEST_CASE_METHOD(host_that_holds_all_groups,
+                 "statement_beside_a_status_of_work_is_not_called_not_run", "[daemon]")
+{
+    const auto status = GENERATE(as<std::string>{}, "200 OK", "202 Accepted", "204 No Content",
+                                 "404 Not Found", "500 Failed", "502 Bad Gateway");
+    answerHead = status + "\r\nRun: no\r\n";
+    const auto response = callClass(*this, "order", "order-1");
+    CAPTURE(status, response.status);
+    CHECK(outcomeOf(response) == "unknown");
+    CHECK(countRuns(*this, "order-1") == 1);
+}
+
+TEST_CASE_METHOD(host_that_holds_all_groups, "refusal_is_called_not_run", "[daemon]")
+{
+    const auto status =
+            GENERATE(as<std::string>{}, "400 Malformed", "429 Too Many", "503 Full", "504 Late");
+    answerHead = status + "\r\nRun: no\r\n";
+    CHECK(outcomeOf(callClass(*this, "order", "order-1")) == "not_run");
+}
+
 // Guards against a status that is taken for "not run": a peer replies to a forwarded order with
 // values that this host does not know.
 TEST_CASE_METHOD(host_that_holds_all_groups, "unknown_outcome_in_a_reply_is_not_called_not_run",
--- a/tests/support/host_in_process.cpp
+++ b/tests/support/host_in_process.cpp
@@ -65,7 +65,7 @@
         resetRaw(connection);
         return false;
     }
-    return sendAll(connection, rawResponse("200 OK\r\nRequest-Id: " + id + "\r\n", "ran"));
+    return sendAll(connection, rawResponse(answerHead + "Request-Id: " + id + "\r\n", "ran"));
 }
 
 host_that_holds_all_groups::host_that_holds_all_groups()
--- a/tests/support/host_in_process.h
+++ b/tests/support/host_in_process.h
@@ -20,6 +20,8 @@
 struct two_backends
 {
     std::atomic<bool> losesAnswers = false;
+    // The status and headers of their answers. Set before the first request.
+    std::string answerHead = "200 OK\r\n";
     raw_backend backendA{[this](raw_connection &connection, const std::string &id) {
         return runRequest(backendA, connection, id);
     }};
