--- a/daemon/grants.cpp
+++ b/daemon/grants.cpp
@@ -60,18 +60,26 @@
 
 // Records whether this host sends to the group, and resets the queue when it starts to. Called
 // with holdings and group locked.
-auto updateSending(group_table &table, const std::vector<server_info> &servers, bool sending,
-                   instant now) -> void
+auto updateSending(group_table &table, const std::vector<server_info> &servers, bool sending)
+        -> void
 {
     if (sending && !table.sending) {
         table.queue.servers.clear();
         table.history = {};
-        table.history.completeSince = now;
     }
     table.sending = sending;
     setServers(table.queue, asLoads(servers));
 }
 
+auto recordShards(const holdings_state &state, group_table &table,
+                  const std::vector<server_info> &servers, instant now) -> void
+{
+    for (const auto &server : servers) {
+        for (const auto &assigned : shardsToGrant(state, server.id, now))
+            recordShard(table.history, assigned.shard.index, assigned.grantEpoch, now);
+    }
+}
+
 // Shards of the server that are being released and run no work: the next grant leaves them out.
 auto idleReleasingShards(holdings_state &state, const group_table &table, const group_id &group,
                          const server_id &server, instant now) -> std::vector<shard_id>
@@ -131,14 +139,14 @@
     if (now >= state.leaseEnds && !keyed)
         return {};
     if (isReleasingGroup(state, group, now) || !mayUseGroup(state, group, now))
-        return removeRequests(table, removeAllRequests(table.queue));
+        return removeRequests(table, removeAllRequests(table.queue), now);
     std::vector<shared_request> taken;
     for (const auto &server : servers) {
         for (const auto &assigned : shardsToGrant(state, server.id, now)) {
             if (isReleasingShard(state, assigned.shard, now))
                 append(taken,
-                       removeRequests(table,
-                                      removeShardRequests(table.queue, assigned.shard.index)));
+                       removeRequests(table, removeShardRequests(table.queue, assigned.shard.index),
+                                      now));
         }
     }
     return taken;
@@ -171,7 +179,7 @@
             continue;
         releaseServer(daemon.holdings.state, server.id);
         daemon.holdings.lostServers.insert(server.id);
-        append(taken, removeRequests(table, removeOwnerRequests(table.queue, server.id)));
+        append(taken, removeRequests(table, removeOwnerRequests(table.queue, server.id), now));
     }
     return taken;
 }
@@ -186,7 +194,7 @@
     releaseIfLeaseEnded(state, now);
     const auto servers = serversOf(state.table, group);
     const auto wasSending = table->sending;
-    updateSending(*table, servers, holdsGroup(state, group, now), now);
+    updateSending(*table, servers, holdsGroup(state, group, now));
     group_step step;
     if (wasSending || table->sending) {
         step.returnedRequests = takeReleasedWork(daemon, *table, group, servers, now);
@@ -200,6 +208,7 @@
         step.groupReleased = true;
         return step;
     }
+    recordShards(state, *table, servers, now);
     for (const auto &server : servers)
         step.outgoing.push_back(prepareGrant(daemon, *table, group, server, now));
     return step;
@@ -262,7 +271,12 @@
     request.target = "/grants";
     request.body = toJson(sent.message);
     const auto address = sent.address;
-    sendHttp(daemon.serverClient, address, std::move(request), {grantTimeout, {}},
+    http_send_options options;
+    options.timeout = grantTimeout;
+    // Replies to grants have no id. On a connection that carried others, a late copy of one of them
+    // would count as the server's release.
+    options.newConnection = !sent.droppedShards.empty();
+    sendHttp(daemon.serverClient, address, std::move(request), options,
              [&daemon, sent = std::move(sent)](const http_outcome &httpResult) {
                  wire::GrantReply reply;
                  const auto valid = httpResult.failure == http_failure::None
