Tell connections of raw servers apart by a number of their own

A socket's number is given to a later connection, so that tests of late copies could write a copy on a connection that had not carried it. The number is unique among all raw servers of a test, since one fixture has two.

--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -214,7 +214,7 @@
         const std::string own =
                 "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n";
         const std::lock_guard guard(lock);
-        auto &last = lastAnswers[connection.socket];
+        auto &last = lastAnswers[connection.number];
         if (isRelease && !sendAll(connection, last))
             return false;
         last = own + "\r\n";
--- a/tests/process/answers_test.cpp
+++ b/tests/process/answers_test.cpp
@@ -178,7 +178,7 @@
     std::map<int, std::string> copies;
     const auto exchangeCopy = [&](raw_connection &connection) {
         const std::lock_guard guard(copiesLock);
-        return std::exchange(copies[connection.socket], ownAnswer(connection));
+        return std::exchange(copies[connection.number], ownAnswer(connection));
     };
     SECTION("sent_in_one_segment_with_the_answer")
     {
@@ -260,7 +260,7 @@
         {
             const std::lock_guard guard(stateLock);
             // The first request of a connection is refused, each later one runs.
-            auto &earlier = refusals[connection.socket];
+            auto &earlier = refusals[connection.number];
             if (earlier.empty() || id.starts_with("refuse")) {
                 earlier = refusalOf(connection, copyHasId).substr(0, copiedBytes);
                 return sendAll(connection, refusalOf(connection));
--- a/tests/process/not_run_test.cpp
+++ b/tests/process/not_run_test.cpp
@@ -42,7 +42,7 @@
         std::string copy;
         {
             const std::lock_guard guard(stateLock);
-            auto &refusal = refusals[connection.socket];
+            auto &refusal = refusals[connection.number];
             if (rawHeader(connection, "X-Expect-Instance") != "raw") {
                 refused.insert(id);
                 refusal = "HTTP/1.1 421 Other\r\nX-Not-Executed: 1\r\nX-Instance-Id: raw\r\n"
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -14,6 +14,9 @@
 
 constexpr int pollPeriodMs = 20;
 
+// The number of the last connection that any server accepted.
+std::atomic<int> lastConnection = 0;
+
 auto waitReadable(const raw_server &server, int socket) -> bool
 {
     while (!server.stopping) {
@@ -55,7 +58,8 @@
         const auto socket = ::accept(server.listener, nullptr, nullptr);
         if (socket < 0)
             continue;
-        const auto number = ++server.connections;
+        const int number = ++lastConnection;
+        ++server.connections;
         ++server.openConnections;
         std::thread(serveConnection, std::ref(server), socket, number).detach();
     }
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -14,7 +14,7 @@
 struct raw_connection
 {
     int socket = -1;
-    // Unlike the socket, no other connection of the server has the same number.
+    // Unlike the socket, no other connection has the same number.
     int number = 0;
     // The bytes of the last request, up to the end of its headers.
     std::string request;
--- a/tests/transport/http_stream_test.cpp
+++ b/tests/transport/http_stream_test.cpp
@@ -260,9 +260,9 @@
     std::map<int, std::string> refusals;
     serve([&](raw_connection &connection) {
         if (refusals.empty())
-            return sendAll(connection, refusals[connection.socket] = refusal);
+            return sendAll(connection, refusals[connection.number] = refusal);
         return sendAll(connection,
-                       refusals[connection.socket] + ownHead + "Content-Length: 3\r\n\r\nown");
+                       refusals[connection.number] + ownHead + "Content-Length: 3\r\n\r\nown");
     });
     CHECK(call().response.status == 503);
     const auto outcome = call();
