Read no state of an attempt when its caller is gone

With several worker threads, the log line of a caller that closed its connection read the attempts' history, permit and times while an attempt of the request went on at another worker: strings were read while they were assigned, so a host could crash. The line has the fields now that no attempt changes. The answer that such a caller never gets had the status 503, in the log too, beside orders that were running; it is 502, which promises nothing.

No process test can show it. deploy/host.json sets one worker, for which nothing changes but the status in the log.

--- a/router/request_flow.cpp
+++ b/router/request_flow.cpp
@@ -148,12 +148,28 @@
                flow.routes ? std::to_string(flow.routes->configuration.version) : std::string()}});
 }
 
+// Logs that the caller is gone. Reads nothing that an attempt changes, because one may be going on
+// at another worker.
+auto logCallerGone(const request_flow &flow, unsigned status, instant now) -> void
+{
+    logEvent(log_level::Info, "request_ended",
+             {{"request", flow.callerRequest.id},
+              {"route", flow.matchedRoute->name},
+              {"service", flow.service},
+              {"status", std::to_string(status)},
+              {"reason", std::string(nameIn(requestResultNames, request_result::CallerGone))},
+              {"took_ms", std::to_string(toMilliseconds(now - flow.arrived))}});
+}
+
 auto answerCaller(const shared_flow &flow, http_response response, request_result result) -> void
 {
     if (!markFinished(*flow))
         return;
     const auto now = monotonicNow();
-    logResult(*flow, response.status, result, now);
+    if (result == request_result::CallerGone)
+        logCallerGone(*flow, response.status, now);
+    else
+        logResult(*flow, response.status, result, now);
     countRequest(flow->router.metrics,
                  flow->matchedRoute == nullptr ? route_name() : flow->matchedRoute->name,
                  response.status, nameIn(requestResultNames, result), now - flow->arrived);
@@ -526,7 +542,8 @@
     // repeated.
     if (flow->matchedRoute->kind == repeatability::Idempotent)
         cancelHttp(exchange);
-    answerCaller(flow, encodeOwnResponse(503, flow->callerRequest.id, std::nullopt),
+    // It gets no bytes of this answer, whose status promises nothing: an order may be running.
+    answerCaller(flow, encodeOwnResponse(502, flow->callerRequest.id, std::nullopt),
                  request_result::CallerGone);
 }
 
