Record a copy of a grant's answer as a known failure

Answers to grants are matched by order alone on kept connections: the late copy of one confirms the next.

The test is run by a name of its own in CTest, so that the other unit tests stay checked.

--- a/tests/platform/site_store_test.cpp
+++ b/tests/platform/site_store_test.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace parsleyloft {
 
@@ -253,6 +254,34 @@
     CHECK(promise.get_future().get() != order_result::OtherServer);
 }
 
+// Guards against a grant that counts as confirmed although the server has not taken it: the second
+// copy of an earlier grant's answer comes where its own is due. Known to fail (KNOWN-RED.txt), so
+// CTest runs it by its name.
+TEST_CASE_METHOD(store_and_client, "second_copy_of_a_grants_answer_does_not_confirm_the_next_grant",
+                 "[.][key_orders]")
+{
+    std::mutex lock;
+    std::set<int> answered;
+    raw_server raw([&](raw_connection &connection) {
+        const std::lock_guard guard(lock);
+        // The first grant is answered. The second gets the copy, on the first one's connection.
+        if (!answered.empty() && !answered.contains(connection.number))
+            return true;
+        answered.insert(connection.number);
+        return sendAll(connection,
+                       "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto send = [&] {
+        std::promise<order_result> promise;
+        const key_order order{order_kind::Grant, {"i-1", 1000, raw.address}, 0, 4095, 12, 4s, {}};
+        sendKeyOrder(client.http, order, 500ms, always,
+                     [&](order_result result, const std::string &) { promise.set_value(result); });
+        return promise.get_future().get();
+    };
+    CHECK(send() == order_result::Done);
+    CHECK(send() == order_result::Unanswered);
+}
+
 // Guards against an order that is written after the leadership has ended during the connect.
 TEST_CASE_METHOD(store_and_client, "order_is_checked_after_the_connect_and_then_not_written",
                  "[key_orders]")
