--- a/daemon/attempt.cpp
+++ b/daemon/attempt.cpp
@@ -19,8 +19,14 @@
     attempt_result result = attempt_result::Failed;
 };
 
+// The statuses beside which a server states that it refused a request.
+auto isRefusalStatus(unsigned status) -> bool
+{
+    return status == 400 || status == 409 || status == 429 || status == 503 || status == 504;
+}
+
 // Classifies the result of an attempt. Once the request was sent, the outcome is "not run" only if
-// the server states that in the Run header of its response.
+// the server states that in the Run header of a refusal.
 auto classifyOutcome(http_outcome &&httpResult) -> attempt_conclusion
 {
     switch (httpResult.failure) {
@@ -37,10 +43,11 @@
         break;
     }
     auto &response = httpResult.response;
-    if (response.status == 200)
+    const auto statesNotRun = headerValue(response.headers, "Run") == "no";
+    if (response.status == 200 && !statesNotRun)
         return {{outcome::Answered, reason::None, std::move(response.body)},
                 attempt_result::Answered};
-    if (headerValue(response.headers, "Run") != "no")
+    if (!statesNotRun || !isRefusalStatus(response.status))
         return {unknownOutcome(reason::ServerFailed), attempt_result::Failed};
     if (response.status == 409)
         return {notRun(reason::NoOwner), attempt_result::Failed};
@@ -86,7 +93,8 @@
 // Records the end of an attempt. Returns the outcome of the request when this attempt decides
 // it: the first answered attempt does, otherwise the last one to end.
 auto recordConclusion(group_table &table, pending_request &request,
-                      const attempt_conclusion &conclusion) -> std::optional<request_outcome>
+                      const attempt_conclusion &conclusion, instant now)
+        -> std::optional<request_outcome>
 {
     --request.attempts;
     if (conclusion.reported.result == outcome::Unknown)
@@ -99,7 +107,7 @@
     if (reported.result == outcome::NotRun && request.mayHaveRun)
         reported = unknownOutcome(reported.cause);
     if (!request.work.mayRepeat)
-        endAtMostOnce(table.history, request.id, reported);
+        endAtMostOnce(table.history, request.id, reported, now);
     return reported;
 }
 
@@ -127,14 +135,14 @@
 {
     const auto timedOut = httpResult.failure == http_failure::TimedOut;
     const auto conclusion = classifyOutcome(std::move(httpResult));
-    const auto latency = monotonicNow() - current.startedAt;
+    const auto now = monotonicNow();
     const auto table = groupTable(daemon, current.group);
     std::optional<request_outcome> reported;
     {
         const std::lock_guard guard(table->lock);
         if (!timedOut)
-            freeSlot(*table, current, conclusion.result, latency);
-        reported = recordConclusion(*table, *current.request, conclusion);
+            freeSlot(*table, current, conclusion.result, now - current.startedAt);
+        reported = recordConclusion(*table, *current.request, conclusion, now);
     }
     if (reported)
         current.request->respond(std::move(*reported));
--- a/daemon/dispatch.cpp
+++ b/daemon/dispatch.cpp
@@ -35,6 +35,23 @@
             && mayUseShard(state, shard, now);
 }
 
+auto asAtMostOnce(const pending_request &request, bool repeated) -> at_most_once_request
+{
+    at_most_once_request asked{request.id, repeated, request.work.maxWait, std::nullopt};
+    if (!request.owner.empty())
+        asked.shard = request.shard;
+    return asked;
+}
+
+// Called with holdings and group locked, once the request may be sent.
+auto recordShardOf(const daemon_process &daemon, group_table &table, const group_id &group,
+                   const pending_request &request, instant now) -> void
+{
+    const auto *shard = findShard(daemon.holdings.state.table, {group.service, request.shard});
+    if (!request.owner.empty() && shard != nullptr)
+        recordShard(table.history, request.shard, shard->grantEpoch, now);
+}
+
 struct admission
 {
     // Set when the request is not queued. It is delivered after the locks are released.
@@ -48,7 +65,7 @@
         -> admission
 {
     if (!request->work.mayRepeat) {
-        const auto known = beginAtMostOnce(table.history, request->id, repeated, now);
+        const auto known = beginAtMostOnce(table.history, asAtMostOnce(*request, repeated), now);
         if (known)
             return {known, std::nullopt};
     }
@@ -58,7 +75,7 @@
     const auto offered = offer(table.queue, queued, request->work.maxRefusedPermille, now);
     if (!offered.admitted) {
         if (!request->work.mayRepeat)
-            endAtMostOnce(table.history, request->id, notRun(offered.refusal));
+            endAtMostOnce(table.history, request->id, notRun(offered.refusal), now);
         return {notRun(offered.refusal), std::nullopt};
     }
     table.waiting[number] = request;
@@ -66,7 +83,7 @@
     if (offered.shed) {
         result.shed = table.waiting[*offered.shed];
         table.waiting.erase(*offered.shed);
-        endAtMostOnce(table.history, (*result.shed)->id, notRun(reason::ShedForOthers));
+        endAtMostOnce(table.history, (*result.shed)->id, notRun(reason::ShedForOthers), now);
     }
     return result;
 }
@@ -96,7 +113,7 @@
         request->respond(notRun(why));
 }
 
-auto removeRequests(group_table &table, const std::vector<ticket> &tickets)
+auto removeRequests(group_table &table, const std::vector<ticket> &tickets, instant now)
         -> std::vector<shared_request>
 {
     std::vector<shared_request> taken;
@@ -104,7 +121,7 @@
         const auto found = table.waiting.find(number);
         if (found == table.waiting.end())
             continue;
-        endAtMostOnce(table.history, found->second->id, notRun(reason::None));
+        endAtMostOnce(table.history, found->second->id, notRun(reason::None), now);
         taken.push_back(found->second);
         table.waiting.erase(found);
     }
@@ -120,10 +137,12 @@
         const std::scoped_lock guard(daemon.holdings.lock, table->lock);
         const auto now = monotonicNow();
         releaseIfLeaseEnded(daemon.holdings.state, now);
-        if (maySend(daemon, group, *request, now))
+        if (maySend(daemon, group, *request, now)) {
+            recordShardOf(daemon, *table, group, *request, now);
             admitted = admit(*table, request, repeated, now);
-        else
+        } else {
             admitted.immediate = notRun(reason::WrongHolder);
+        }
     }
     if (admitted.shed)
         (*admitted.shed)->respond(notRun(reason::ShedForOthers));
@@ -143,7 +162,7 @@
         const std::scoped_lock guard(daemon.holdings.lock, table->lock);
         const auto now = monotonicNow();
         releaseIfLeaseEnded(daemon.holdings.state, now);
-        expired = removeRequests(*table, removeExpired(table->queue, now));
+        expired = removeRequests(*table, removeExpired(table->queue, now), now);
         for (const auto &start : startRequests(table->queue, now)) {
             const auto request = table->waiting.at(start.request.number);
             table->waiting.erase(start.request.number);
@@ -152,7 +171,7 @@
                 continue;
             }
             finish(table->queue, start.server, attempt_result::Failed, 0us);
-            endAtMostOnce(table->history, request->id, notRun(reason::WrongHolder));
+            endAtMostOnce(table->history, request->id, notRun(reason::WrongHolder), now);
             unsendable.push_back(request);
         }
         scheduleDeadlineCheck(daemon, group, *table, now);
--- a/daemon/entry.cpp
+++ b/daemon/entry.cpp
@@ -28,7 +28,7 @@
     // The group of the last failed attempt: another group is preferred.
     std::optional<group_id> avoidedGroup;
     std::uint32_t spills = 0;
-    // True once the outcome of an attempt was unknown.
+    // True once the outcome of an attempt was unknown, also of one before this request.
     bool mayHaveRun = false;
     reason lastReason = reason::NoServer;
     std::function<void(request_outcome)> respond;
@@ -157,14 +157,28 @@
     acceptRequest(daemon, target.group, request, entry->request.repeated);
 }
 
+// Decodes a value of an enumeration. Nothing when this host does not know the value.
+template<typename enumeration, std::size_t count>
+auto fromWire(const name_table<enumeration, count> &table, std::uint32_t value)
+        -> std::optional<enumeration>
+{
+    for (const auto &entry : table) {
+        if (static_cast<std::uint32_t>(entry.value) == value)
+            return entry.value;
+    }
+    return std::nullopt;
+}
+
 auto toOutcome(const result<wire::ForwardReply> &reply) -> request_outcome
 {
     if (!reply && reply.error().code == error_code::Unreachable)
         return notRun(reason::HolderUnreachable);
     if (!reply)
         return unknownOutcome(reason::HostLost);
-    return {static_cast<outcome>(reply->outcome()), static_cast<reason>(reply->reason()),
-            reply->body()};
+    const auto decoded = fromWire(outcomeNames, reply->outcome());
+    if (!decoded)
+        return unknownOutcome(reason::HostLost);
+    return {*decoded, fromWire(reasonNames, reply->reason()).value_or(reason::None), reply->body()};
 }
 
 auto toForward(const daemon_process &daemon, const entry_state &entry, const route_target &target,
@@ -221,8 +235,18 @@
     return {chooseTarget(view, request, now), now >= state.leaseEnds};
 }
 
+auto isGivenUp(const class_request &request) -> bool
+{
+    return request.givenUp != nullptr && *request.givenUp;
+}
+
 auto routeEntry(daemon_process &daemon, const shared_entry &entry) -> void
 {
+    // The caller may have sent it again through another host, and it may have run there.
+    if (isGivenUp(entry->request)) {
+        finishEntry(daemon, entry, unknownOutcome(entry->lastReason));
+        return;
+    }
     if (monotonicNow() >= entry->deadline) {
         finishEntry(daemon, entry, notRun(reason::DeadlinePassed));
         return;
@@ -294,16 +318,22 @@
 
 } // namespace
 
+auto refusalOf(bool repeated, reason cause) -> request_outcome
+{
+    return repeated ? unknownOutcome(cause) : notRun(cause);
+}
+
 auto handleCallerRequest(daemon_process &daemon, class_request request,
                          std::function<void(request_outcome)> respond) -> void
 {
     const auto work = checkRequest(daemon, request);
     if (!work) {
-        respond(notRun(work.error()));
+        respond(refusalOf(request.repeated, work.error()));
         return;
     }
     auto entry = std::make_shared<entry_state>();
     entry->work = *work;
+    entry->mayHaveRun = request.repeated;
     entry->arrived = monotonicNow();
     const auto limit = std::min(work->maxWait, request.limit.value_or(work->maxWait));
     entry->deadline = entry->arrived + limit;
--- a/daemon/http_api.cpp
+++ b/daemon/http_api.cpp
@@ -77,7 +77,8 @@
 {
     if (reported.result == outcome::Answered)
         return 200;
-    if (reported.result == outcome::Unknown)
+    // The statuses below state that the request was not run.
+    if (reported.result != outcome::NotRun)
         return reported.cause == reason::DeadlinePassed ? 504 : 502;
     switch (reported.cause) {
     case reason::BadRequest:
@@ -108,13 +109,18 @@
     return response;
 }
 
+auto isRepeated(const http_request &request) -> bool
+{
+    return headerValue(request.headers, "Repeated") == "yes";
+}
+
 auto parseCall(const http_request &request) -> tl::expected<class_request, reason>
 {
     class_request call;
     call.className = std::string(targetPath(request.target).substr(callPrefix.size()));
     call.id = headerValue(request.headers, "Request-Id");
     call.key = headerValue(request.headers, "Key");
-    call.repeated = headerValue(request.headers, "Repeated") == "yes";
+    call.repeated = isRepeated(request);
     if (call.id.size() > maxRequestIdLength || call.key.size() > maxKeyLength)
         return tl::unexpected(reason::BadRequest);
     const auto limit = headerValue(request.headers, "Deadline-Ms");
@@ -132,10 +138,14 @@
 {
     auto call = parseCall(request);
     if (!call || request.method != "POST") {
-        respond(toResponse(headerValue(request.headers, "Request-Id"), notRun(reason::BadRequest)));
+        respond(toResponse(headerValue(request.headers, "Request-Id"),
+                           refusalOf(isRepeated(request), reason::BadRequest)));
         return;
     }
     call->body = std::move(request.body);
+    const auto givenUp = std::make_shared<std::atomic<bool>>(false);
+    onCallerDisconnect(request.caller, [givenUp] { *givenUp = true; });
+    call->givenUp = givenUp;
     const auto id = call->id;
     handleCallerRequest(daemon, std::move(*call),
                         [id, respond = std::move(respond)](request_outcome reported) {
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -14,6 +14,9 @@
 
 constexpr int pollPeriodMs = 20;
 
+// The number of the last connection that any server accepted.
+std::atomic<int> lastConnection = 0;
+
 auto waitReadable(const raw_server &server, int socket) -> bool
 {
     while (!server.stopping) {
@@ -40,9 +43,9 @@
     return true;
 }
 
-auto serveConnection(raw_server &server, int socket) -> void
+auto serveConnection(raw_server &server, int socket, int number) -> void
 {
-    raw_connection connection{socket, {}};
+    raw_connection connection{socket, number, {}};
     while (readRequest(server, connection) && server.handler(connection)) { }
     if (connection.socket >= 0)
         ::close(connection.socket);
@@ -55,9 +58,10 @@
         const auto socket = ::accept(server.listener, nullptr, nullptr);
         if (socket < 0)
             continue;
+        const int number = ++lastConnection;
         ++server.connections;
         ++server.openConnections;
-        std::thread(serveConnection, std::ref(server), socket).detach();
+        std::thread(serveConnection, std::ref(server), socket, number).detach();
     }
 }
 
