--- a/tests/soak/server_exchange.cpp
+++ b/tests/soak/server_exchange.cpp
@@ -38,7 +38,6 @@
             drawBetween(exchange.random, 1, static_cast<int>(text.size()) - 1));
 }
 
-// A line of the output for each answer, which the verdict prints for the requests of a breach.
 auto logStep(const request_exchange &exchange, std::string_view step, unsigned status) -> void
 {
     const auto line = "at_us=" + std::to_string(toMicroseconds(monotonicNow())) + " request="
@@ -97,7 +96,6 @@
                     status == 200 ? bodyOf(exchange) : "failed");
 }
 
-// The headers of a refusal may come in any order, so that parts of it hold different ones.
 auto makeRefusal(request_exchange &exchange, unsigned status, bool hasStatement, bool hasId)
         -> std::string
 {
@@ -119,7 +117,6 @@
     return withBody(head, drawBetween(exchange.random, 0, 1) == 0 ? "" : "refused");
 }
 
-// Writes the late copy of an earlier answer, if there is one, and the bytes.
 auto writeNext(request_exchange &exchange, std::string_view bytes) -> bool
 {
     auto &connection = exchange.connection;
@@ -140,8 +137,6 @@
     exchange.connection.lastAnswer = answer;
 }
 
-// Writes the copy at once if the caller sends nothing for a while, otherwise before the next
-// answer.
 auto writeLateCopy(request_exchange &exchange, const std::string &copy) -> void
 {
     auto &connection = exchange.connection;
@@ -169,7 +164,6 @@
         writeLateCopy(exchange, refusal);
 }
 
-// Refuses a request that this server must not run.
 auto refuseAsOther(request_exchange &exchange) -> void
 {
     if (!readBody(exchange))
@@ -187,8 +181,6 @@
     return exchange.process.options.keyed;
 }
 
-// Records the run, unless the request's key is not held. The record and the check are one step, so
-// that a release that follows waits for the work.
 auto beginWork(request_exchange &exchange) -> bool
 {
     auto &process = exchange.process;
@@ -209,7 +201,6 @@
     return true;
 }
 
-// Returns the status of the answer. Work that outlasts the grant of its key fails.
 auto endWork(request_exchange &exchange) -> unsigned
 {
     auto &process = exchange.process;
@@ -222,8 +213,6 @@
     return findHoldEnd(process.grants, exchange.key, monotonicNow()) ? 200 : 500;
 }
 
-// Runs the request. Refuses it, and returns nothing, if its key is not held, or returns nothing if
-// the connection ends before the body.
 auto work(request_exchange &exchange) -> std::optional<unsigned>
 {
     if (!readBody(exchange))
