--- a/review/stand-2/site.cc
+++ b/review/stand-2/site.cc
@@ -458,7 +458,9 @@
         Message message;
         while (connection.read(message, 60, false)) {
             const auto request = message.headers["x-request-id"];
-            const auto name = "X-Request-Id: " + request + "\r\n";
+            if (gone)
+                return;
+            const auto name = "X-Request-Id: " + request + "\r\n" + (leaving ? "Server-Leaving: 1\r\n" : "");
             if (message.headers["x-expect-instance"] != id) {
                 if (!connection.send(response(421, name + "X-Instance-Id: " + id + "\r\nX-Not-Executed: 1\r\n", {})))
                     return;
@@ -466,6 +468,8 @@
             }
             onRun(request, service);
             std::this_thread::sleep_for(std::chrono::duration<double>(workS));
+            if (gone)
+                return;
             const auto stamp = "X-Upstream-Stamp: " + service + "." + request + "\r\nX-Upstream-Load: 1,0,6\r\n";
             if (!connection.send(response(200, name + stamp, service + " ran " + request)))
                 return;
@@ -473,11 +477,12 @@
     });
 }
 
-std::string Upstream::entry(const std::string &zone) const
+std::string Upstream::entry(const std::string &zone)
 {
     return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(server.port)
             + "\",\"zone\":\"" + zone
-            + "\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":1,\"born\":1700000000000}";
+            + "\",\"version\":\"v1\",\"slots\":6,\"state\":\"" + (leaving ? "draining" : "ready")
+            + "\",\"warmup_left_ms\":0,\"seq\":" + std::to_string(++beats) + ",\"born\":1700000000000}";
 }
 
 bool Host::start(const std::string &folder, const std::string &zone, int storePort)
--- a/review/stand-2/site.hh
+++ b/review/stand-2/site.hh
@@ -104,10 +104,15 @@
     std::string service;
     Server server;
     double workS = 0.05;
+    // While it leaves, all its answers say so. Once it has ended, it takes and answers nothing.
+    std::atomic<bool> leaving = false;
+    std::atomic<bool> gone = false;
+    int beats = 0;
     // Called when it begins to work on a request: id of the request, name of the service.
     std::function<void(const std::string &, const std::string &)> onRun;
     void start();
-    std::string entry(const std::string &zone) const;
+    // What it writes to the store with its next heartbeat.
+    std::string entry(const std::string &zone);
 };
 
 struct Host
