--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the scripts in review/6, review/7 and review/10 into target/review-2/.
+# Builds the stand-ins of the scripts in review/6 and review/8, and slow_body (REPORT-2.md), into target/review-2/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
