--- a/review/stand-2/lost_leaving.cc
+++ b/review/stand-2/lost_leaving.cc
@@ -65,8 +65,10 @@
             finish(2);
     }
     for (const auto &host : hosts) {
-        if (!awaitReady(host, 10))
+        if (!awaitReady(host, 10)) {
+            record(host.id + " is not ready");
             finish(2);
+        }
     }
     record("all hosts are ready");
     sleepUntil(now() + 8);
--- a/review/stand-2/site.cc
+++ b/review/stand-2/site.cc
@@ -237,12 +237,18 @@
 
 } // namespace
 
+// Below the ports that the system gives to outgoing connections, so that none takes it meanwhile.
 int freePort()
 {
-    int port = 0;
-    const int handle = listenAt(port);
-    ::close(handle);
-    return port;
+    static int next = 12000 + static_cast<int>(::getpid()) * 37 % 15000;
+    while (true) {
+        int port = next++;
+        const int handle = listenAt(port);
+        if (handle < 0)
+            continue;
+        ::close(handle);
+        return port;
+    }
 }
 
 int connectTo(int port)
