--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,6 +4,10 @@
 cd "$(dirname "$0")" || exit 2
 REVIEW_ROOT="$(cd ../.. && pwd)"
 export REVIEW_ROOT
+# What was sent, answered and run. The stand-in adds its lines.
+REVIEW_RECORD="$PWD/record.txt"
+export REVIEW_RECORD
+: > "$REVIEW_RECORD" || exit 2
 [ -x "$REVIEW_ROOT/target/command/parsleyloft" ] && [ -x "$REVIEW_ROOT/target/review-2/lost_watch" ] || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/stand-2/site.cc
+++ b/review/stand-2/site.cc
@@ -287,7 +287,8 @@
 
 void record(const std::string &line)
 {
-    static std::ofstream file("record.txt", std::ios::trunc);
+    static const auto *const path = std::getenv("REVIEW_RECORD");
+    static std::ofstream file(path == nullptr ? "record.txt" : path, std::ios::trunc);
     const std::lock_guard guard(recordLock);
     char time[32];
     std::snprintf(time, sizeof(time), "%9.3f ", now());
