--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts of this review into target/review-3, after the build of the
+# deploy file. Needs nothing beside what that build needs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake --build target --target parsleyloft_lab -j8
+mkdir -p target/review-3
+mapfile -t libraries < <(find target -name 'libparsleyloft_*.a')
+build() {
+  g++ -std=c++20 -O2 -Wall -Wextra -I. -Igenerated "$1" review/stand-ins-3/site.cpp \
+    -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
+    -lprotobuf -lboost_program_options -llog4cxx -lprometheus-cpp-core -lzstd -lxxhash -lpthread \
+    -o "target/review-3/$2"
+}
+build review/11/readers.cpp readers
+build review/12/crowd.cpp crowd
