Add a review case: changes of a large configuration fill every host's memory

The follower of the store keeps up to 1,000 changes with their values, whatever their size. review/13 shows it on three hosts of 260 MB with a script.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -14,3 +14,4 @@
 }
 build review/11/readers.cpp readers
 build review/12/crowd.cpp crowd
+build review/13/changes.cpp changes
--- a/review/stand-ins-3/site.cpp
+++ b/review/stand-ins-3/site.cpp
@@ -303,19 +303,19 @@
         return;
     if (!isRunning(watched.process)) {
         watched.exceeded = true;
-        write(log, "the host has ended by itself");
+        write(log, watched.process.id + " has ended by itself");
         return;
     }
     const auto resident = residentBytes(watched.process);
     const auto unread = unreadBytes(watched.process, watched.serverPorts);
     watched.peak = std::max(watched.peak, resident + unread);
-    write(log, "host: " + std::to_string(resident / bytesPerMegabyte) + " MB resident, "
+    write(log, watched.process.id + ": " + std::to_string(resident / bytesPerMegabyte) + " MB resident, "
                        + std::to_string(unread / bytesPerMegabyte)
                        + " MB received and not read");
     if (resident + unread <= watched.size.memoryMb * bytesPerMegabyte)
         return;
     watched.exceeded = true;
-    write(log, "the host exceeds " + std::to_string(watched.size.memoryMb)
+    write(log, watched.process.id + " exceeds " + std::to_string(watched.size.memoryMb)
                        + " MB: the platform kills the process");
     ::kill(watched.process.process, SIGKILL);
 }
