--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -15,3 +15,5 @@
 build review/11/readers.cpp readers
 build review/12/crowd.cpp crowd
 build review/13/changes.cpp changes
+build review/14/stop.cpp stop
+build review/15/cut.cpp cut
