--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,8 +12,8 @@
     -lprotobuf -lboost_program_options -llog4cxx -lprometheus-cpp-core -lzstd -lxxhash -lpthread \
     -o "target/review-3/$2"
 }
-build review/11/changes.cpp changes
-build review/12/readers.cpp readers
-build review/13/crowd.cpp crowd
-build review/14/stop.cpp stop
-build review/15/cut.cpp cut
+build review/11/restored.cpp restored
+build review/12/changes.cpp changes
+build review/13/readers.cpp readers
+build review/14/crowd.cpp crowd
+build review/15/stop.cpp stop
