--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,13 +7,13 @@
 mkdir -p target/review-3
 mapfile -t libraries < <(find target -name 'libparsleyloft_*.a')
 build() {
-  g++ -std=c++20 -O2 -Wall -Wextra -I. -Igenerated "$1" review/stand-ins-3/site.cpp \
+  g++ -std=c++20 -O2 -Wall -Wextra -I. -Igenerated "$1" review/stand-ins-3/site.cc \
     -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
     -lprotobuf -lboost_program_options -llog4cxx -lprometheus-cpp-core -lzstd -lxxhash -lpthread \
     -o "target/review-3/$2"
 }
-build review/11/restored.cpp restored
-build review/12/changes.cpp changes
-build review/13/readers.cpp readers
-build review/14/crowd.cpp crowd
-build review/15/stop.cpp stop
+build review/11/restored.cc restored
+build review/12/changes.cc changes
+build review/13/readers.cc readers
+build review/14/crowd.cc crowd
+build review/15/stop.cc stop
--- a/review/stand-ins-3/site.cpp
+++ b/review/stand-ins-3/site.cc
@@ -1,5 +1,5 @@
 // What the scripts of this review share.
-#include "site.h"
+#include "site.hh"
 
 #include <algorithm>
 #include <cerrno>
@@ -47,15 +47,14 @@
 
 record::record(const std::string &path)
     : file(path)
-    , startedAt(std::chrono::time_point_cast<parsleyloft::duration>(
-              std::chrono::steady_clock::now()))
+    , startedAt(
+              std::chrono::time_point_cast<parsleyloft::duration>(std::chrono::steady_clock::now()))
 { }
 
 auto elapsedMs(const record &of) -> long
 {
     const auto passed = std::chrono::steady_clock::now() - of.startedAt;
-    return static_cast<long>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(passed).count());
+    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(passed).count());
 }
 
 auto write(record &to, const std::string &line) -> void
@@ -116,8 +115,7 @@
             << ",\"peer_address\":" << addressText(started.peerPort)
             << ",\"metrics_address\":" << addressText(started.metricsPort)
             << ",\"store_address\":" << addressText(storePort) << ",\"first_start\":true"
-            << ",\"size\":{\"cpu_share\":" << size.cpuShare
-            << ",\"memory_mb\":" << size.memoryMb
+            << ",\"size\":{\"cpu_share\":" << size.cpuShare << ",\"memory_mb\":" << size.memoryMb
             << ",\"max_descriptors\":" << size.maxDescriptors << "}"
             << ",\"bounds\":{\"drain_ms\":2000,\"grace_s\":6,\"hold_max_ms\":10000,"
                "\"repeat_ratio\":0.2,\"repeat_slack\":60,\"repeat_window_s\":10}}";
@@ -241,7 +239,8 @@
         answer.append(bytes, static_cast<std::size_t>(count));
         const auto head = answer.find("\r\n\r\n");
         if (head != std::string::npos)
-            expected = head + 4 + std::strtoul(headerOf(answer, "Content-Length").c_str(), nullptr, 10);
+            expected = head + 4
+                    + std::strtoul(headerOf(answer, "Content-Length").c_str(), nullptr, 10);
     }
     return answer.size() >= 12 && expected != std::string::npos ? std::atoi(answer.c_str() + 9) : 0;
 }
@@ -309,14 +308,15 @@
     const auto resident = residentBytes(watched.process);
     const auto unread = unreadBytes(watched.process, watched.serverPorts);
     watched.peak = std::max(watched.peak, resident + unread);
-    write(log, watched.process.id + ": " + std::to_string(resident / bytesPerMegabyte) + " MB resident, "
-                       + std::to_string(unread / bytesPerMegabyte)
-                       + " MB received and not read");
+    write(log,
+          watched.process.id + ": " + std::to_string(resident / bytesPerMegabyte) + " MB resident, "
+                  + std::to_string(unread / bytesPerMegabyte) + " MB received and not read");
     if (resident + unread <= watched.size.memoryMb * bytesPerMegabyte)
         return;
     watched.exceeded = true;
-    write(log, watched.process.id + " exceeds " + std::to_string(watched.size.memoryMb)
-                       + " MB: the platform kills the process");
+    write(log,
+          watched.process.id + " exceeds " + std::to_string(watched.size.memoryMb)
+                  + " MB: the platform kills the process");
     ::kill(watched.process.process, SIGKILL);
 }
 
--- a/review/stand-ins-3/site.h
+++ b/review/stand-ins-3/site.hh
@@ -92,8 +92,8 @@
 // 0 if there is none.
 auto callOnce(std::uint16_t port, const std::string &request, int limitMs) -> int;
 
-// Ends the host if it holds more than its machine has, as the platform does: its memory, and what it
-// has received and not yet read. Records both.
+// Ends the host if it holds more than its machine has, as the platform does: its memory, and what
+// it has received and not yet read. Records both.
 struct watched_host
 {
     host process;
