--- a/review/stand-ins-3/site.cc
+++ b/review/stand-ins-3/site.cc
@@ -14,6 +14,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -124,6 +125,8 @@
     const auto output = directory + "/" + id + ".out";
     started.process = ::fork();
     if (started.process == 0) {
+        // The host ends with the script, also when that is ended from outside.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("PARSLEYLOFT_BOOT", started.settingsPath.c_str(), 1);
         const auto file = ::open(output.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         ::dup2(file, STDOUT_FILENO);
