--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -14,6 +14,6 @@
 }
 build review/11/restored.cc restored
 build review/12/changes.cc changes
-build review/13/readers.cc readers
-build review/14/crowd.cc crowd
-build review/15/stop.cc stop
+build review/13/crowd.cc crowd
+build review/14/stop.cc stop
+build review/15/cut.cc cut
